--- /dev/null
+++ b/daemon/connection/EndpointChannel.cpp
@@ -0,0 +1,167 @@
+#include "connection/EndpointChannel.h"
+
+#include "connection/HttpListener.h"
+
+#include <stdexcept>
+
+namespace cassiahollow {
+
+namespace {
+
+    constexpr std::size_t maxAnswerBytes = 16 << 20; // An endpoint that sends without end must not fill the memory.
+    constexpr const char* protocolName = "cassiahollow-endpoint";
+
+} // namespace
+
+EndpointChannel::~EndpointChannel() = default;
+
+void EndpointChannel::send(std::string text)
+{
+    if (ended_ || abandoned_)
+        return;
+    outgoing_.push_back(std::move(text));
+    if (open_)
+        lws_callback_on_writable(wsi_);
+}
+
+void EndpointChannel::abandon()
+{
+    if (abandoned_)
+        return;
+    abandoned_ = true;
+    handlers_ = {};
+    if (wsi_ && !ended_)
+        lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+}
+
+void EndpointChannel::ended()
+{
+    if (std::exchange(ended_, true))
+        return;
+    open_ = false;
+    wsi_ = nullptr;
+    const auto closed = std::move(handlers_.closed_);
+    handlers_ = {};
+    if (closed)
+        closed();
+    intrusive_ptr_release(this); // The reference that the loop held.
+}
+
+int EndpointChannel::callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
+{
+    auto* channel = static_cast<EndpointChannel*>(user);
+    if (!channel || channel->ended_)
+        return 0;
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_ESTABLISHED:
+        channel->wsi_ = wsi;
+        [[fallthrough]];
+    case LWS_CALLBACK_CLIENT_RECEIVE:
+    case LWS_CALLBACK_CLIENT_WRITEABLE: {
+        const EndpointChannelPtr keepAlive(channel);
+        return channel->handle(reason, static_cast<const char*>(in), length);
+    }
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLIENT_CLOSED:
+    case LWS_CALLBACK_WSI_DESTROY:
+        channel->ended();
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+int EndpointChannel::handle(lws_callback_reasons reason, const char* in, std::size_t length)
+{
+    if (abandoned_)
+        return -1;
+    if (reason == LWS_CALLBACK_CLIENT_ESTABLISHED) {
+        open_ = true;
+        if (!outgoing_.empty())
+            lws_callback_on_writable(wsi_);
+        if (handlers_.opened_)
+            handlers_.opened_();
+        return abandoned_ ? -1 : 0;
+    }
+    if (reason == LWS_CALLBACK_CLIENT_RECEIVE) {
+        if (partialMessage_.size() + length > maxAnswerBytes)
+            return -1;
+        partialMessage_.append(in, length);
+        if (!lws_is_final_fragment(wsi_) || lws_remaining_packet_payload(wsi_) > 0)
+            return 0;
+        const auto message = handlers_.message_; // The handler may abandon the channel and with it itself.
+        if (message)
+            message(std::exchange(partialMessage_, {}));
+        return abandoned_ ? -1 : 0;
+    }
+    if (outgoing_.empty())
+        return 0;
+    std::string buffer(LWS_PRE, '\0');
+    buffer.append(outgoing_.front());
+    const std::size_t size = outgoing_.front().size();
+    outgoing_.pop_front();
+    sent_ = true;
+    if (lws_write(wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, size, LWS_WRITE_TEXT) < 0)
+        return -1;
+    if (!outgoing_.empty())
+        lws_callback_on_writable(wsi_);
+    return 0;
+}
+
+ChannelFactory::ChannelFactory(EventLoop& loop)
+    : loop_(loop)
+{
+    protocols_[0].name = protocolName;
+    protocols_[0].callback = &EndpointChannel::callback;
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = protocols_;
+    info.vhost_name = "endpoints";
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    vhost_ = lws_create_vhost(loop_.context(), &info);
+    if (!vhost_)
+        throw std::runtime_error("libwebsockets could not create the client side");
+}
+
+ChannelFactory::~ChannelFactory() = default;
+
+EndpointChannelPtr ChannelFactory::open(
+    const std::string& address, std::chrono::milliseconds timeout, ChannelHandlers handlers)
+{
+    EndpointChannelPtr channel(new EndpointChannel);
+    channel->handlers_ = std::move(handlers);
+    intrusive_ptr_add_ref(channel.get());
+    const auto parts = splitAddress(address);
+    lws* wsi = nullptr;
+    if (parts) {
+        const std::string host = parts->first;
+        lws_client_connect_info info {};
+        info.context = loop_.context();
+        info.vhost = vhost_;
+        info.address = host.c_str();
+        info.port = parts->second;
+        info.path = "/";
+        info.host = host.c_str();
+        info.origin = host.c_str();
+        info.protocol = protocolName;
+        info.local_protocol_name = protocolName;
+        info.userdata = channel.get();
+        info.pwsi = &wsi;
+        lws_client_connect_via_info(&info);
+    }
+    if (!wsi || channel->ended_) {
+        // The owner is told later, because it does not hold the channel yet.
+        if (!channel->ended_) {
+            loop_.schedule(Clock::now(), [channel] { channel->ended(); });
+        }
+        return channel;
+    }
+    channel->wsi_ = wsi;
+    loop_.schedule(Clock::now() + timeout, [channel] {
+        if (!channel->open_ && !channel->ended_ && channel->wsi_)
+            lws_set_timeout(channel->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    });
+    return channel;
+}
+
+} // namespace cassiahollow
