--- /dev/null
+++ b/src/process/Metrics.cpp
@@ -0,0 +1,131 @@
+#include "cassiahollow/process/Metrics.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace cassiahollow {
+
+namespace {
+
+    // From 10 us, below which nothing crosses a socket, to 1000 s, ten buckets for each factor of ten.
+    constexpr double lowestSeconds = 1e-5;
+    constexpr double highestSeconds = 1e3;
+    constexpr unsigned buckets = 80;
+
+    constexpr std::array<MetricInfo, static_cast<std::size_t>(HistogramId::Count)> histogramInfos { {
+        { "request_seconds", "Time from the arrival of a request to its answer, in the entry instance." },
+        { "queue_seconds", "Time in the admission queue of an endpoint." },
+        { "run_seconds", "Time at the endpoint." },
+        { "confirm_seconds", "Time from the endpoint's answer to the confirmation by a majority." },
+        { "failover_detect_seconds", "Time from the last report of the old primary to the suspicion." },
+        { "failover_decide_seconds", "Time from the suspicion to the first fence." },
+        { "failover_fence_seconds", "Time from the first fence to answers from a majority." },
+        { "failover_catch_up_seconds",
+            "Time until the chosen replica of a planned change holds the primary's position." },
+        { "failover_promote_seconds", "Time from the promotion order to its answer." },
+        { "failover_route_seconds", "Time from the answer until a majority holds an entry of the new term." },
+        { "failover_total_seconds", "Time from the last report of the old primary to the end of the failover." },
+        { "planned_change_total_seconds", "Time from the pause of writes to the end of a planned change of primary." },
+        { "settings_in_force_seconds", "Time from learning of a settings revision to its application." },
+    } };
+
+    constexpr std::array<MetricInfo, static_cast<std::size_t>(CounterId::Count)> counterInfos { {
+        { "reads_at_replica_total", "Reads answered by replicas." },
+        { "reads_at_primary_total", "Reads answered by primaries." },
+        { "writes_total", "Writes acknowledged." },
+        { "forwarded_total", "Attempts sent to other instances." },
+        { "peer_sent_bytes_total", "Bytes sent to other instances." },
+        { "peer_received_bytes_total", "Bytes received from other instances." },
+        { "promotions_total", "Promotions finished by this instance." },
+    } };
+
+    double seconds(Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+} // namespace
+
+const MetricInfo& histogramInfo(HistogramId id)
+{
+    return histogramInfos[static_cast<std::size_t>(id)];
+}
+
+const MetricInfo& counterInfo(CounterId id)
+{
+    return counterInfos[static_cast<std::size_t>(id)];
+}
+
+Metrics::Metrics()
+    : histograms_(static_cast<std::size_t>(HistogramId::Count),
+        Recorded { boost::histogram::make_histogram(LogAxis(buckets, lowestSeconds, highestSeconds)) })
+{
+}
+
+void Metrics::record(HistogramId id, Duration duration)
+{
+    Recorded& recorded = histograms_[static_cast<std::size_t>(id)];
+    const double value = std::max(seconds(duration), 0.0);
+    recorded.histogram_(std::max(value, lowestSeconds));
+    recorded.sum_ += value;
+    recorded.max_ = std::max(recorded.max_, value);
+    ++recorded.count_;
+}
+
+void Metrics::countRequest(const ServiceId& service, const ClassId& requestClass, Outcome outcome, std::uint32_t weight)
+{
+    ClassCounts& counts = classes_[{ service, requestClass }];
+    ++counts.outcomes_[static_cast<std::size_t>(outcome)];
+    if (outcome == Outcome::Done)
+        counts.weightedDone_ += weight;
+}
+
+std::string Metrics::render() const
+{
+    std::ostringstream text;
+    text << std::setprecision(6);
+    text << "# HELP cassiahollow_reason_total Refusals, retries and dropped messages by reason.\n"
+            "# TYPE cassiahollow_reason_total counter\n";
+    for (const auto& info : allReasons())
+        text << "cassiahollow_reason_total{reason=\"" << info.name_ << "\"} " << value(info.reason_) << '\n';
+    for (std::size_t i = 0; i < counterInfos.size(); ++i) {
+        text << "# HELP cassiahollow_" << counterInfos[i].name_ << ' ' << counterInfos[i].help_
+             << "\n# TYPE cassiahollow_" << counterInfos[i].name_ << " counter\ncassiahollow_" << counterInfos[i].name_
+             << ' ' << counters_[i].load(std::memory_order_relaxed) << '\n';
+    }
+    text << "# TYPE cassiahollow_requests_total counter\n";
+    for (const auto& [key, counts] : classes_) {
+        for (const Outcome outcome : { Outcome::Done, Outcome::NotRun, Outcome::Unknown }) {
+            text << "cassiahollow_requests_total{service=\"" << key.first << "\",class=\"" << key.second
+                 << "\",outcome=\"" << outcomeName(outcome) << "\"} "
+                 << counts.outcomes_[static_cast<std::size_t>(outcome)] << '\n';
+        }
+    }
+    text << "# TYPE cassiahollow_weighted_service_total counter\n";
+    for (const auto& [key, counts] : classes_) {
+        text << "cassiahollow_weighted_service_total{service=\"" << key.first << "\",class=\"" << key.second << "\"} "
+             << counts.weightedDone_ << '\n';
+    }
+    for (std::size_t i = 0; i < histograms_.size(); ++i) {
+        const Recorded& recorded = histograms_[i];
+        const std::string name = "cassiahollow_" + std::string(histogramInfos[i].name_);
+        text << "# HELP " << name << ' ' << histogramInfos[i].help_ << "\n# TYPE " << name << " histogram\n";
+        double cumulative = 0;
+        for (auto&& bin : boost::histogram::indexed(recorded.histogram_)) {
+            if (*bin == 0)
+                continue;
+            cumulative += *bin;
+            text << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << cumulative << '\n';
+        }
+        text << name << "_bucket{le=\"+Inf\"} " << recorded.count_ << '\n'
+             << name << "_sum " << recorded.sum_ << '\n'
+             << name << "_count " << recorded.count_ << '\n'
+             << name << "_max " << recorded.max_ << '\n';
+    }
+    for (const auto& [name, value] : gauges_)
+        text << "# TYPE cassiahollow_" << name << " gauge\ncassiahollow_" << name << ' ' << value << '\n';
+    return text.str();
+}
+
+} // namespace cassiahollow
