Give each type of the umbrella header one name

Cause: modules written at the same time defined MemberReport, RunRequest and EndpointRole twice, so their headers could not be included together.

--- a/include/cassiahollow/connection/EndpointProtocol.h
+++ b/include/cassiahollow/connection/EndpointProtocol.h
@@ -24,12 +24,6 @@
 /// endpoint sends without a request, as when its connection limit is reached.
 using ExchangeNumber = std::uint64_t;
 
-/// What an endpoint does in its group.
-enum class EndpointRole : std::uint8_t {
-    Replica, ///< Takes entries from a primary, or waits for an order.
-    Primary, ///< Takes writes of the term that it has promised.
-};
-
 /// "replica" or "primary".
 std::string_view endpointRoleName(EndpointRole);
 
--- a/include/cassiahollow/process/Directory.h
+++ b/include/cassiahollow/process/Directory.h
@@ -43,9 +43,6 @@
     bool operator==(const InstanceRecord&) const = default;
 };
 
-/// The role that an endpoint announces.
-enum class EndpointRole : std::uint8_t { Replica, Primary };
-
 /// The last announcement of an endpoint. Ordered by (started, sequence, expired).
 struct EndpointRecord {
     EndpointId id_;
--- a/include/cassiahollow/process/Types.h
+++ b/include/cassiahollow/process/Types.h
@@ -67,6 +67,12 @@
     return stream << position.term_ << ':' << position.index_;
 }
 
+/// What an endpoint does in its group.
+enum class EndpointRole : std::uint8_t {
+    Replica, ///< Takes entries from a primary, or waits for an order.
+    Primary, ///< Takes writes of the term that it has promised.
+};
+
 /// What a caller may conclude about its request.
 enum class Outcome : std::uint8_t {
     Done, ///< It ran and is durable on a majority of its group.
--- a/include/cassiahollow/request/Forward.h
+++ b/include/cassiahollow/request/Forward.h
@@ -22,7 +22,7 @@
 };
 
 /// One attempt of a request, as the holder of an endpoint receives it.
-struct RunRequest {
+struct ForwardRequest {
     std::uint64_t number_ { 0 }; ///< Chosen by the sender, unique within its incarnation.
     EndpointId endpoint_;
     GroupId group_;
@@ -43,7 +43,7 @@
 };
 
 /// The holder's answer to one attempt.
-struct RunReply {
+struct ForwardReply {
     std::uint64_t number_ { 0 };
     Outcome outcome_ { Outcome::Unknown };
     std::optional<Reason> reason_; ///< Set unless the outcome is Done.
@@ -57,7 +57,7 @@
     bool wasSent_ { false }; ///< Bytes of the request went to the endpoint.
 };
 
-using ForwardMessage = std::variant<RunRequest, RunReply>;
+using ForwardMessage = std::variant<ForwardRequest, ForwardReply>;
 
 std::string encodeForward(const ForwardMessage&);
 
--- a/include/cassiahollow/request/ReadRouting.h
+++ b/include/cassiahollow/request/ReadRouting.h
@@ -13,7 +13,7 @@
 namespace cassiahollow {
 
 /// One report of a member, from its watch connection or in answer to a question.
-struct MemberReport {
+struct PositionReport {
     EndpointId endpoint_;
     LogPosition position_; ///< The member's last log entry.
     Term promisedTerm_ { 0 };
@@ -103,7 +103,7 @@
 
 /// Records a report that arrived now: positions, learned lag and age proofs. Reports of endpoints that are not
 /// members are ignored.
-void applyReport(GroupView&, const MemberReport&, TimePoint now);
+void applyReport(GroupView&, const PositionReport&, TimePoint now);
 
 /// Records a route. A route of a term at or below the known one is ignored.
 void setRoute(GroupView&, const EndpointId& primary, Term);
--- a/include/cassiahollow/version/GroupTerm.h
+++ b/include/cassiahollow/version/GroupTerm.h
@@ -15,8 +15,6 @@
 /// promotion, and return of old primaries. No I/O and no clock; see docs/design.md, section 5.
 namespace cassiahollow {
 
-enum class MemberRole : std::uint8_t { Replica, Primary };
-
 /// One entry of the member list of a group. Comes from the group member list of the control state.
 struct GroupMember {
     EndpointId endpoint_;
@@ -33,7 +31,7 @@
 /// What an endpoint says about itself, in a watch stream or as the answer to `report`, `fence`, `promote`, `follow`.
 struct MemberReport {
     EndpointId endpoint_;
-    MemberRole role_ { MemberRole::Replica };
+    EndpointRole role_ { EndpointRole::Replica };
     Term promisedTerm_ { 0 };
     LogPosition position_; ///< The last entry of its log.
     bool leaving_ { false };
--- a/src/request/Forward.cpp
+++ b/src/request/Forward.cpp
@@ -24,7 +24,7 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
     }
 
-    void write(wire::RunRequest& to, const RunRequest& from)
+    void write(wire::RunRequest& to, const ForwardRequest& from)
     {
         to.set_number(from.number_);
         to.set_endpoint(from.endpoint_.value_);
@@ -47,9 +47,9 @@
         to.set_operation(static_cast<std::uint32_t>(from.operation_));
     }
 
-    RunRequest read(wire::RunRequest& from)
+    ForwardRequest read(wire::RunRequest& from)
     {
-        RunRequest to;
+        ForwardRequest to;
         to.number_ = from.number();
         to.endpoint_ = EndpointId(from.endpoint());
         to.group_ = GroupId(from.group());
@@ -71,7 +71,7 @@
         return to;
     }
 
-    void write(wire::RunReply& to, const RunReply& from)
+    void write(wire::RunReply& to, const ForwardReply& from)
     {
         to.set_number(from.number_);
         to.set_outcome(static_cast<std::uint32_t>(from.outcome_));
@@ -89,9 +89,9 @@
         to.set_was_sent(from.wasSent_);
     }
 
-    RunReply read(wire::RunReply& from)
+    ForwardReply read(wire::RunReply& from)
     {
-        RunReply to;
+        ForwardReply to;
         to.number_ = from.number();
         to.outcome_ = static_cast<Outcome>(from.outcome());
         if (from.has_reason())
@@ -126,10 +126,10 @@
 std::string encodeForward(const ForwardMessage& message)
 {
     wire::ForwardMessage wireMessage;
-    if (const auto* request = std::get_if<RunRequest>(&message))
+    if (const auto* request = std::get_if<ForwardRequest>(&message))
         write(*wireMessage.mutable_request(), *request);
     else
-        write(*wireMessage.mutable_reply(), std::get<RunReply>(message));
+        write(*wireMessage.mutable_reply(), std::get<ForwardReply>(message));
     return wireMessage.SerializeAsString();
 }
 
