--- a/include/cassiahollow/process/HolderMap.h
+++ b/include/cassiahollow/process/HolderMap.h
@@ -25,7 +25,6 @@
 struct HolderMap {
     struct Entry {
         DataCentre dataCentre_;
-        std::uint64_t hash_ { 0 }; ///< Hash of the endpoint id.
         InstanceId holder_; ///< Empty if no instance is eligible.
         std::uint64_t weight_ { 0 }; ///< Rendezvous weight of the holder.
         TimePoint since_ {}; ///< When this instance learned that the holder is the holder.
