--- a/include/cassiahollow/request/ReadRouting.h
+++ b/include/cassiahollow/request/ReadRouting.h
@@ -80,7 +80,8 @@
     LogPosition required_; ///< To be given to checkReadAnswer, and to the endpoint as the minimum position.
 };
 
-/// Hold the read for the endpoint, and choose again on its next report or at the time, whichever comes first.
+/// Hold the read for the endpoint, and choose again on its next report, on a new route or at the time, whichever comes
+/// first.
 struct ReadWait {
     EndpointId endpoint_;
     TimePoint until_;
@@ -94,7 +95,8 @@
 using ReadChoice = std::variant<ReadAt, ReadWait, ReadRefused>;
 
 /// Chooses where a read runs. Replicas come first, the ones with the shortest queue before others. Refuses with
-/// GroupUnknown, DeadlinePassed, GroupWithoutPrimary, GroupWithoutMajority or NoEndpointForRead.
+/// GroupUnknown, DeadlinePassed, GroupWithoutPrimary or GroupWithoutMajority. While a promotion can be expected, a read
+/// that needs the primary waits.
 ReadChoice chooseRead(const GroupView&, const ReadNeed&, TimePoint now);
 
 /// Checks the position in an answer against the required position of the choice. RetryReplicaBehind means that the
