Add detection, promotion, rejoin and planned change of primary

Cause: the group module had an interface and no logic. Ruled out: a promotion without a reachable majority (it leaves members with promises that have to be outbid later); an immediate second attempt while another promoter's term is less than 900 ms old (promoters outbid each other); votes when every member reports that it is not primary (reports prove it). After a lost data centre two watchers in one data centre suffice, because no second one is left to vote. Conclusion: single rules hold; combinations of faults are not tested yet.

--- a/include/cassiahollow/version/GroupTerm-inl.h
+++ b/include/cassiahollow/version/GroupTerm-inl.h
@@ -9,7 +9,7 @@
 
 inline bool writesPaused(const GroupState& state)
 {
-    return state.change_.has_value();
+    return state.change_ && state.change_->paused_;
 }
 
 } // namespace cassiahollow
--- a/include/cassiahollow/version/GroupTerm.h
+++ b/include/cassiahollow/version/GroupTerm.h
@@ -74,6 +74,12 @@
     Duration unfinished_ { std::chrono::milliseconds(900) };
     Duration voteLife_ { std::chrono::milliseconds(1500) }; ///< A vote counts so long; it is repeated at each probe.
     Duration catchUpLimit_ { std::chrono::seconds(3) }; ///< A planned change is given up after this time.
+    /// How long the preferred replica has to report the primary's position before a planned change fences. Longer than
+    /// the message delay, so that the position covers the writes that ran when the pause began.
+    Duration settled_ { std::chrono::milliseconds(10) };
+    /// How long the members have to report that none of them is primary: two report intervals, because a report can
+    /// be overtaken by a newer one on a new connection.
+    Duration withoutPrimary_ { std::chrono::milliseconds(200) };
     Duration stalled_ { std::chrono::seconds(
         1) }; ///< A replica behind the primary without progress gets `follow` again.
 };
@@ -213,10 +219,11 @@
     std::optional<TimePoint> probeOpened_; ///< Set while a probe waits for its answer.
     std::optional<TimePoint> probeDue_; ///< Set while a probe has failed and the next one waits.
     bool unreachable_ { false }; ///< The last probe failed and nothing arrived since.
-    TimePoint progressed_ {}; ///< The last change of the reported position.
+    TimePoint progressed_ {}; ///< The last time that its position changed or was that of the primary.
     std::optional<TimePoint> followNeeded_; ///< Since when the member looks like one that doesn't follow the primary.
     std::optional<TimePoint> followSent_;
     Term followedTerm_ { 0 }; ///< The last term for which it answered `follow`.
+    bool reconnected_ { false }; ///< It may have restarted since it answered `follow`.
 };
 
 /// A promotion that this watcher carries out.
@@ -229,9 +236,9 @@
     TimePoint chosenAt_ {};
     std::optional<EndpointId> preferred_;
     bool planned_ { false };
-    TimePoint gapStarted_ {}; ///< Last report of the old primary, or the pause of writes.
-    TimePoint suspected_ {}; ///< The own suspicion.
+    bool suspicion_ { false }; ///< Started because the primary did not answer; cancelled if it does after all.
     bool hadPrimary_ { false };
+    TimePoint gapStarted_ {}; ///< Last report of the old primary, or the pause of writes.
 };
 
 /// A promotion of this watcher whose new primary waits for a majority.
@@ -243,8 +250,8 @@
 /// A planned change that waits for the preferred replica.
 struct PlannedChange {
     EndpointId preferred_;
-    TimePoint ordered_ {};
-    bool promoting_ { false };
+    std::optional<TimePoint> paused_; ///< Unset while the minimum interval between promotions lasts.
+    std::optional<TimePoint> caughtUpSince_;
 };
 
 struct ReceivedVote {
@@ -263,11 +270,12 @@
     std::map<InstanceId, ReceivedVote> votes_;
     Term term_ { 0 }; ///< The highest term in which a member has reported to be primary.
     EndpointId primary_; ///< The primary of `term_`; empty while there was none.
-    Term highestPromised_ { 0 };
+    Term highestPromised_ { 0 }; ///< From reports and votes.
     TimePoint highestPromisedSince_ {};
+    Term refusedTerm_ { 0 }; ///< The highest promised term named in a refusal.
     Term lastOwnTerm_ { 0 }; ///< The highest term in which this watcher has fenced.
     std::optional<TimePoint> suspectedSince_; ///< Set while this watcher sees no working primary.
-    std::optional<TimePoint> unfinishedSince_; ///< Set while a newer term than that of the primary is promised.
+    std::optional<TimePoint> decidableSince_; ///< Set while nothing but the rank delays a promotion.
     std::optional<TimePoint> lastPromotion_; ///< Start of the group's last successful promotion, as far as known.
     std::optional<TimePoint> voteSent_;
     std::optional<TimePoint> retryAt_; ///< No new attempt before this time, after a competing promoter.
@@ -277,6 +285,7 @@
     std::optional<PlannedChange> change_;
     std::uint64_t probes_ { 0 }; ///< The number of the last probe.
     std::minstd_rand random_;
+    TimePoint stepped_ {}; ///< The time of the last step.
 };
 
 /// Makes the state of one watcher. `promoter` has to differ from that of every other state ever made for the group,
--- /dev/null
+++ b/src/version/GroupPromotion.cpp
@@ -0,0 +1,366 @@
+#include "version/GroupRules.h"
+
+#include <algorithm>
+#include <random>
+
+namespace cassiahollow::group {
+
+namespace {
+
+    void record(Actions& actions, FailoverPhase phase, Duration duration, bool planned)
+    {
+        actions.push_back(RecordPhase { phase, duration, planned });
+    }
+
+    std::string name(const GroupState& state)
+    {
+        return "group " + state.group_.value_ + ": ";
+    }
+
+    void sendOrders(GroupState& state, TimePoint now, Actions& actions)
+    {
+        auto& promotion = *state.promotion_;
+        promotion.sent_ = now;
+        if (promotion.chosen_) {
+            actions.push_back(
+                SendOrder { OrderKind::Promote, *promotion.chosen_, promotion.term_, state.promoter_, {} });
+            return;
+        }
+        for (const auto& member : state.members_) {
+            if (!promotion.fenced_.contains(member.endpoint_))
+                actions.push_back(
+                    SendOrder { OrderKind::Fence, member.endpoint_, promotion.term_, state.promoter_, {} });
+        }
+    }
+
+    /// Starts a promotion for which all conditions are met. `gapStarted` is where the failover gap begins.
+    void startPromotion(GroupState& state, TimePoint now, Promotion promotion, Actions& actions)
+    {
+        promotion.term_ = std::max({ state.highestPromised_, state.refusedTerm_, state.lastOwnTerm_, state.term_ }) + 1;
+        promotion.started_ = now;
+        promotion.hadPrimary_ = !state.primary_.empty();
+        state.lastOwnTerm_ = promotion.term_;
+        state.decidableSince_.reset();
+        state.promotionEnd_.reset();
+        if (promotion.suspicion_ && promotion.hadPrimary_ && state.attempts_ == 0) {
+            record(actions, FailoverPhase::Detect, *state.suspectedSince_ - promotion.gapStarted_, false);
+            record(actions, FailoverPhase::Decide, now - *state.suspectedSince_, false);
+        }
+        state.promotion_ = std::move(promotion);
+        actions.push_back(
+            LogChange { name(state) + "promotion starts in term " + std::to_string(state.promotion_->term_) });
+        sendOrders(state, now, actions);
+    }
+
+    std::size_t watchersIn(const GroupState& state, const DataCentre& centre)
+    {
+        return static_cast<std::size_t>(std::count_if(state.watchers_.begin(), state.watchers_.end(),
+            [&](const GroupWatcher& watcher) { return watcher.alive_ && watcher.dataCentre_ == centre; }));
+    }
+
+    /// Whether `left` is the better primary of two members that have answered `fence`.
+    bool isBetter(
+        const GroupState& state, const Promotion& promotion, const MemberState& left, const MemberState& right)
+    {
+        const auto& leftPosition = promotion.fenced_.at(left.endpoint_);
+        const auto& rightPosition = promotion.fenced_.at(right.endpoint_);
+        if (leftPosition != rightPosition)
+            return leftPosition > rightPosition;
+        if (promotion.preferred_
+            && (left.endpoint_ == *promotion.preferred_) != (right.endpoint_ == *promotion.preferred_))
+            return left.endpoint_ == *promotion.preferred_;
+        const bool leftLeaves = left.report_ && left.report_->leaving_;
+        const bool rightLeaves = right.report_ && right.report_->leaving_;
+        if (leftLeaves != rightLeaves)
+            return rightLeaves;
+        const auto leftWatchers = watchersIn(state, left.dataCentre_);
+        const auto rightWatchers = watchersIn(state, right.dataCentre_);
+        if (leftWatchers != rightWatchers)
+            return leftWatchers > rightWatchers;
+        return left.endpoint_ < right.endpoint_;
+    }
+
+    void choose(GroupState& state, TimePoint now, Actions& actions)
+    {
+        auto& promotion = *state.promotion_;
+        const MemberState* best = nullptr;
+        for (const auto& member : state.members_) {
+            if (promotion.fenced_.contains(member.endpoint_) && (!best || isBetter(state, promotion, member, *best)))
+                best = &member;
+        }
+        promotion.chosen_ = best->endpoint_;
+        promotion.chosenAt_ = now;
+        if (promotion.hadPrimary_)
+            record(actions, FailoverPhase::Fence, now - promotion.started_, promotion.planned_);
+        sendOrders(state, now, actions);
+    }
+
+    void advanceOrders(GroupState& state, TimePoint now, Actions& actions)
+    {
+        const auto& promotion = *state.promotion_;
+        const auto& timings = state.timings_;
+        const auto newerPromise
+            = std::any_of(state.members_.begin(), state.members_.end(), [&](const MemberState& member) {
+                  return member.report_ && member.report_->promisedTerm_ > promotion.term_;
+              });
+        const auto reached = std::any_of(state.members_.begin(), state.members_.end(), [&](const MemberState& member) {
+            return member.report_ && member.report_->promisedTerm_ == promotion.term_;
+        });
+        if (!promotion.chosen_ && newerPromise) {
+            abandonPromotion(state, now, "a member has promised a newer term", actions);
+        } else if (promotion.chosen_ && now - promotion.chosenAt_ >= timings.unfinished_) {
+            abandonPromotion(state, now, promotion.chosen_->value_ + " does not answer promote", actions);
+        } else if (promotion.fenced_.empty() && !reached
+            && (promotion.suspicion_ ? viewPrimary(state, now) == PrimaryView::Works
+                                     : now - promotion.started_ >= timings.unfinished_)) {
+            // Nobody is known to be fenced, so nothing needs repair.
+            abandonPromotion(state, now, "the primary reports", actions);
+        } else if (!promotion.chosen_ && promotion.fenced_.size() >= majority(state)) {
+            choose(state, now, actions);
+        } else if (now - promotion.sent_ >= timings.resend_) {
+            sendOrders(state, now, actions);
+        }
+    }
+
+    bool intervalOver(const GroupState& state, TimePoint now)
+    {
+        return !state.lastPromotion_ || now - *state.lastPromotion_ >= state.timings_.promotionInterval_;
+    }
+
+    /// Whether somebody else's promotion may still come to its end.
+    bool waitsForOther(const GroupState& state, TimePoint now)
+    {
+        return state.highestPromised_ > state.term_ && state.highestPromised_ != state.lastOwnTerm_
+            && now - state.highestPromisedSince_ < state.timings_.unfinished_;
+    }
+
+    /// Whether a member has promised a term in which nobody is primary, so that it takes no entries of the primary.
+    bool isMemberStranded(const GroupState& state)
+    {
+        return std::any_of(state.members_.begin(), state.members_.end(),
+            [&](const MemberState& member) { return member.report_ && member.report_->promisedTerm_ > state.term_; });
+    }
+
+    void advanceDecision(GroupState& state, TimePoint now, Actions& actions)
+    {
+        const auto rank = rankOf(state);
+        const auto view = viewPrimary(state, now);
+        const bool suspicion = state.suspectedSince_
+            && (view == PrimaryView::Unreachable
+                    ? votesSuffice(state, now)
+                    : view == PrimaryView::Absent && now - *state.suspectedSince_ >= state.timings_.withoutPrimary_);
+        const bool repair = view == PrimaryView::Works && isMemberStranded(state);
+        // Without a majority a promotion cannot succeed and would only leave members with promises that later have to
+        // be outbid.
+        const bool decidable = rank && (suspicion || repair) && !waitsForOther(state, now) && intervalOver(state, now)
+            && (!state.retryAt_ || *state.retryAt_ <= now) && hasMajority(state, now);
+        if (!decidable) {
+            state.decidableSince_.reset();
+            return;
+        }
+        if (!state.decidableSince_)
+            state.decidableSince_ = now;
+        if (now - *state.decidableSince_ < static_cast<int>(*rank) * state.timings_.rankDelay_)
+            return;
+        Promotion promotion;
+        promotion.suspicion_ = suspicion;
+        const auto* primary = find(state, state.primary_);
+        promotion.gapStarted_
+            = suspicion && primary && primary->heard_ ? std::min(*primary->heard_, *state.suspectedSince_) : now;
+        if (state.change_)
+            promotion.preferred_ = state.change_->preferred_;
+        else if (repair)
+            promotion.preferred_ = state.primary_;
+        startPromotion(state, now, std::move(promotion), actions);
+    }
+
+    void endChange(GroupState& state, Actions& actions)
+    {
+        if (!state.change_)
+            return;
+        if (state.change_->paused_)
+            actions.push_back(ResumeWrites {});
+        state.change_.reset();
+    }
+
+    void advanceChange(GroupState& state, TimePoint now, Actions& actions)
+    {
+        auto& change = *state.change_;
+        const auto* preferred = find(state, change.preferred_);
+        const auto* primary = find(state, state.primary_);
+        const bool works = viewPrimary(state, now) == PrimaryView::Works;
+        if (!preferred || !primary || (change.paused_ && now - *change.paused_ >= state.timings_.catchUpLimit_)) {
+            actions.push_back(LogChange { name(state) + "planned change to " + change.preferred_.value_
+                + " is given up; order it again when the replica has caught up" });
+            endChange(state, actions);
+            return;
+        }
+        if (!works)
+            return;
+        if (!change.paused_) {
+            if (!intervalOver(state, now))
+                return;
+            change.paused_ = now;
+            actions.push_back(PauseWrites {});
+        }
+        const bool caughtUp = isFresh(state, *preferred, now) && isFresh(state, *primary, now)
+            && preferred->report_->promisedTerm_ == state.term_
+            && preferred->report_->position_ >= primary->report_->position_;
+        if (!caughtUp)
+            change.caughtUpSince_.reset();
+        else if (!change.caughtUpSince_)
+            change.caughtUpSince_ = now;
+        if (!caughtUp || now - *change.caughtUpSince_ < state.timings_.settled_ || !hasMajority(state, now))
+            return;
+        record(actions, FailoverPhase::CatchUp, now - *change.paused_, true);
+        Promotion promotion;
+        promotion.planned_ = true;
+        promotion.preferred_ = change.preferred_;
+        promotion.gapStarted_ = *change.paused_;
+        startPromotion(state, now, std::move(promotion), actions);
+    }
+
+    /// Whether the member looks like one that does not follow the primary.
+    bool needsFollow(const GroupState& state, const MemberState& member, const MemberState& primary, TimePoint now)
+    {
+        if (!isFresh(state, member, now) || member.report_->promisedTerm_ > state.term_)
+            return false;
+        if (member.report_->promisedTerm_ < state.term_ || member.reconnected_)
+            return true;
+        if (member.followedTerm_ != state.term_ && member.report_->position_.term_ < state.term_)
+            return true;
+        return member.report_->position_ < primary.report_->position_
+            && now - member.progressed_ >= state.timings_.stalled_;
+    }
+
+    void advanceFollowers(GroupState& state, TimePoint now, Actions& actions)
+    {
+        const auto* primary = find(state, state.primary_);
+        if (!primaryOf(state) || !isFresh(state, *primary, now))
+            return;
+        // The promoter sends `follow` at once; the others leave it time to do so.
+        const auto rank = static_cast<int>(rankOf(state).value_or(0));
+        const auto delay = state.lastOwnTerm_ == state.term_
+            ? Duration()
+            : state.timings_.resend_ + rank * state.timings_.rankDelay_;
+        for (auto& member : state.members_) {
+            if (member.endpoint_ == state.primary_)
+                continue;
+            if (member.report_ && member.report_->position_ >= primary->report_->position_)
+                member.progressed_ = now;
+            if (!needsFollow(state, member, *primary, now)) {
+                member.followNeeded_.reset();
+                member.followSent_.reset();
+                continue;
+            }
+            if (!member.followNeeded_)
+                member.followNeeded_ = now;
+            if (now - *member.followNeeded_ < delay
+                || (member.followSent_ && now - *member.followSent_ < state.timings_.resend_))
+                continue;
+            member.followSent_ = now;
+            actions.push_back(
+                SendOrder { OrderKind::Follow, member.endpoint_, state.term_, state.promoter_, state.primary_ });
+        }
+    }
+
+    void advanceEnd(GroupState& state, TimePoint now, Actions& actions)
+    {
+        const auto& end = *state.promotionEnd_;
+        if (end.promotion_.term_ != state.term_) {
+            state.promotionEnd_.reset();
+            return;
+        }
+        if (!isConfirmed(state, { state.term_, 0 }))
+            return;
+        if (end.promotion_.hadPrimary_) {
+            record(actions, FailoverPhase::Route, now - end.promoted_, end.promotion_.planned_);
+            record(actions, FailoverPhase::Total, now - end.promotion_.gapStarted_, end.promotion_.planned_);
+        }
+        state.promotionEnd_.reset();
+    }
+
+} // namespace
+
+void handleFenceAnswer(GroupState& state, const OrderAnswered& event)
+{
+    if (state.promotion_ && state.promotion_->term_ == event.term_ && !state.promotion_->chosen_)
+        state.promotion_->fenced_[event.report_.endpoint_] = event.report_.position_;
+}
+
+void handleRefusal(GroupState& state, const OrderRefused& event, TimePoint now, Actions& actions)
+{
+    const bool own = state.promotion_ && state.promotion_->term_ == event.term_;
+    const bool current = own
+        && (event.kind_ == OrderKind::Promote ? state.promotion_->chosen_ == event.endpoint_
+                                              : event.kind_ == OrderKind::Fence && !state.promotion_->chosen_);
+    // The grace for other promoters starts with a report, not with a refusal: the refusing member may have been
+    // stranded long ago.
+    state.refusedTerm_ = std::max(state.refusedTerm_, event.promisedTerm_);
+    if (current && event.promisedTerm_ >= event.term_)
+        abandonPromotion(
+            state, now, event.endpoint_.value_ + " has promised term " + std::to_string(event.promisedTerm_), actions);
+}
+
+void orderChange(GroupState& state, const ChangeOrdered& event, Actions& actions)
+{
+    const auto primary = primaryOf(state);
+    if (!primary || *primary == event.preferred_ || !find(state, event.preferred_) || state.change_
+        || state.promotion_) {
+        actions.push_back(LogChange { name(state) + "planned change to " + event.preferred_.value_
+            + " is not possible now; check the group's members and primary, then order it again" });
+        return;
+    }
+    state.change_ = PlannedChange { event.preferred_, {}, {} };
+}
+
+void abandonPromotion(GroupState& state, TimePoint now, const std::string& cause, Actions& actions)
+{
+    actions.push_back(LogChange {
+        name(state) + "promotion in term " + std::to_string(state.promotion_->term_) + " is abandoned: " + cause });
+    ++state.attempts_;
+    // Watchers that compete wait for different times, so that one of them gets through. The random part separates
+    // watchers that disagree about who is alive and so count the same rank.
+    const auto rank = static_cast<int>(rankOf(state).value_or(0));
+    std::uniform_int_distribution<int> spread(0, static_cast<int>(std::min(state.attempts_, 4U)) * 50);
+    state.retryAt_ = now + rank * state.timings_.rankDelay_
+        + (state.attempts_ > 1 ? std::chrono::milliseconds(spread(state.random_)) : std::chrono::milliseconds(0));
+    if (state.promotion_->planned_)
+        endChange(state, actions);
+    state.promotion_.reset();
+}
+
+void finishPromotion(GroupState& state, TimePoint now, Actions& actions)
+{
+    if (state.promotion_ && state.promotion_->term_ <= state.term_) {
+        if (state.promotion_->term_ == state.term_) {
+            if (state.promotion_->hadPrimary_)
+                record(actions, FailoverPhase::Promote, now - state.promotion_->chosenAt_, state.promotion_->planned_);
+            state.promotionEnd_ = PromotionEnd { std::move(*state.promotion_), now };
+        }
+        state.promotion_.reset();
+    }
+    for (auto& member : state.members_) {
+        member.followNeeded_.reset();
+        member.followSent_.reset();
+    }
+    state.attempts_ = 0;
+    state.retryAt_.reset();
+    state.decidableSince_.reset();
+    endChange(state, actions);
+}
+
+void advancePromotion(GroupState& state, TimePoint now, Actions& actions)
+{
+    if (state.change_ && !state.promotion_)
+        advanceChange(state, now, actions);
+    if (!state.promotion_)
+        advanceDecision(state, now, actions);
+    if (state.promotion_)
+        advanceOrders(state, now, actions);
+    if (state.promotionEnd_)
+        advanceEnd(state, now, actions);
+    advanceFollowers(state, now, actions);
+}
+
+} // namespace cassiahollow::group
--- /dev/null
+++ b/src/version/GroupTerm.cpp
@@ -0,0 +1,422 @@
+#include "cassiahollow/version/GroupTerm.h"
+
+#include "version/GroupRules.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace cassiahollow {
+
+namespace group {
+
+    MemberState* find(GroupState& state, const EndpointId& endpoint)
+    {
+        for (auto& member : state.members_) {
+            if (member.endpoint_ == endpoint)
+                return &member;
+        }
+        return nullptr;
+    }
+
+    const MemberState* find(const GroupState& state, const EndpointId& endpoint)
+    {
+        return find(const_cast<GroupState&>(state), endpoint);
+    }
+
+    std::size_t majority(const GroupState& state)
+    {
+        return state.members_.size() / 2 + 1;
+    }
+
+    bool isFresh(const GroupState& state, const MemberState& member, TimePoint now)
+    {
+        return member.heard_ && now - *member.heard_ <= state.timings_.suspicion_;
+    }
+
+    PrimaryView viewPrimary(const GroupState& state, TimePoint now)
+    {
+        if (const auto primary = primaryOf(state))
+            return find(state, *primary)->unreachable_ ? PrimaryView::Unreachable : PrimaryView::Works;
+        // Without a known primary, any member that does not report may be it.
+        auto view = PrimaryView::Absent;
+        for (const auto& member : state.members_) {
+            if (member.unreachable_)
+                view = PrimaryView::Unreachable;
+            else if (!isFresh(state, member, now))
+                return PrimaryView::Unsettled;
+        }
+        return view;
+    }
+
+    std::optional<std::size_t> rankOf(const GroupState& state)
+    {
+        std::size_t rank = 0;
+        bool watches = false;
+        for (const auto& watcher : state.watchers_) {
+            watches |= watcher.instance_ == state.self_;
+            rank += watcher.alive_ && watcher.instance_ < state.self_;
+        }
+        return watches ? std::optional(rank) : std::nullopt;
+    }
+
+    bool votesSuffice(const GroupState& state, TimePoint now)
+    {
+        std::set<DataCentre> memberCentres;
+        for (const auto& member : state.members_)
+            memberCentres.insert(member.dataCentre_);
+        std::set<DataCentre> livingCentres;
+        std::set<DataCentre> votingCentres;
+        std::size_t living = 0;
+        std::size_t voting = 0;
+        for (const auto& watcher : state.watchers_) {
+            const bool self = watcher.instance_ == state.self_;
+            const auto received = state.votes_.find(watcher.instance_);
+            const bool recent
+                = received != state.votes_.end() && now - received->second.received_ <= state.timings_.voteLife_;
+            if (!self && !watcher.alive_ && !recent)
+                continue;
+            ++living;
+            livingCentres.insert(watcher.dataCentre_);
+            // One primary per term, so the term alone says which primary is meant; a voter that knows of no primary
+            // names the highest promised term.
+            if (!self && !(recent && received->second.vote_.suspects_ && received->second.vote_.term_ >= state.term_))
+                continue;
+            ++voting;
+            votingCentres.insert(watcher.dataCentre_);
+        }
+        if (living <= 1)
+            return true;
+        // After the loss of all other data centres nobody in a second one is left to vote. The majority of fence
+        // answers keeps this safe.
+        if (memberCentres.size() <= 1 || livingCentres.size() <= 1)
+            return voting >= 2;
+        return votingCentres.size() >= 2;
+    }
+
+    void learnPromised(GroupState& state, Term term, TimePoint now)
+    {
+        if (term <= state.highestPromised_)
+            return;
+        state.highestPromised_ = term;
+        state.highestPromisedSince_ = now;
+    }
+
+    void learnPrimary(GroupState& state, const MemberReport& report, TimePoint now, Actions& actions)
+    {
+        if (report.role_ != MemberRole::Primary)
+            return;
+        if (report.promisedTerm_ == state.term_ && !state.primary_.empty() && state.primary_ != report.endpoint_) {
+            actions.push_back(LogChange { "group " + state.group_.value_ + ": " + report.endpoint_.value_ + " and "
+                + state.primary_.value_ + " both report to be primary of term " + std::to_string(state.term_) });
+            return;
+        }
+        if (report.promisedTerm_ <= state.term_)
+            return;
+        // A state that has neither seen an earlier primary nor the lack of one cannot tell a new promotion from an old
+        // one.
+        const bool own = state.promotion_ && state.promotion_->term_ == report.promisedTerm_;
+        if (own)
+            state.lastPromotion_ = state.promotion_->started_;
+        else if (state.term_ > 0 || state.suspectedSince_)
+            state.lastPromotion_ = state.highestPromised_ == report.promisedTerm_ ? state.highestPromisedSince_ : now;
+        state.term_ = report.promisedTerm_;
+        state.primary_ = report.endpoint_;
+        actions.push_back(PublishRoute { state.group_, state.term_, state.primary_ });
+        actions.push_back(LogChange { "group " + state.group_.value_ + ": " + state.primary_.value_
+            + " is primary of term " + std::to_string(state.term_) });
+        finishPromotion(state, now, actions);
+    }
+
+} // namespace group
+
+namespace {
+
+    using namespace group;
+
+    void openProbe(GroupState& state, MemberState& member, TimePoint now, Actions& actions)
+    {
+        member.probe_ = ++state.probes_;
+        member.probeOpened_ = now;
+        member.probeDue_.reset();
+        actions.push_back(OpenProbe { member.endpoint_, member.probe_ });
+    }
+
+    void failProbe(GroupState& state, MemberState& member, TimePoint now)
+    {
+        const bool heard = member.heard_ && *member.heard_ >= *member.probeOpened_;
+        member.probeOpened_.reset();
+        // The old watch speaks again, so the probe was not needed.
+        if (heard)
+            return;
+        member.probeDue_ = now + state.timings_.probe_;
+        member.unreachable_ = true;
+    }
+
+    /// Takes in a report. Returns false for one that is older than the last: promised terms are durable, so a lower
+    /// one is late, or the member has lost its disk and must not count.
+    bool accept(GroupState& state, const MemberReport& report, TimePoint now, Actions& actions)
+    {
+        auto* member = find(state, report.endpoint_);
+        if (!member || (member->report_ && report.promisedTerm_ < member->report_->promisedTerm_))
+            return false;
+        if (!member->report_ || member->report_->position_ != report.position_)
+            member->progressed_ = now;
+        member->report_ = report;
+        member->heard_ = now;
+        member->unreachable_ = false;
+        member->probeDue_.reset();
+        if (report.position_.term_ == report.promisedTerm_)
+            member->confirmed_ = std::max(member->confirmed_, report.position_);
+        learnPromised(state, report.promisedTerm_, now);
+        learnPrimary(state, report, now, actions);
+        return true;
+    }
+
+    void handle(GroupState& state, const GroupConfigured& event, TimePoint now, Actions& actions)
+    {
+        std::vector<MemberState> members;
+        for (const auto& member : event.members_) {
+            MemberState next;
+            if (auto* known = find(state, member.endpoint_)) {
+                next = *known;
+            } else {
+                next.endpoint_ = member.endpoint_;
+                openProbe(state, next, now, actions);
+            }
+            next.dataCentre_ = member.dataCentre_;
+            members.push_back(std::move(next));
+        }
+        state.members_.swap(members);
+        for (const auto& member : members) {
+            if (find(state, member.endpoint_))
+                continue;
+            actions.push_back(CloseWatch { member.endpoint_ });
+            if (state.promotion_)
+                state.promotion_->fenced_.erase(member.endpoint_);
+        }
+        state.watchers_ = event.watchers_;
+    }
+
+    void handle(GroupState& state, const MemberReported& event, TimePoint now, Actions& actions)
+    {
+        accept(state, event.report_, now, actions);
+    }
+
+    void handle(GroupState& state, const WatchLost& event, TimePoint now, Actions& actions)
+    {
+        auto* member = find(state, event.endpoint_);
+        if (!member)
+            return;
+        member->reconnected_ = true;
+        if (!member->probeOpened_ && !member->probeDue_)
+            openProbe(state, *member, now, actions);
+    }
+
+    void handle(GroupState& state, const ProbeAnswered& event, TimePoint now, Actions& actions)
+    {
+        auto* member = find(state, event.report_.endpoint_);
+        if (!member || member->probe_ != event.probe_)
+            return;
+        if (!accept(state, event.report_, now, actions)) {
+            if (member->probeOpened_)
+                failProbe(state, *member, now);
+            return;
+        }
+        member->probeOpened_.reset();
+        actions.push_back(ReplaceWatch { member->endpoint_, event.probe_ });
+    }
+
+    void handle(GroupState& state, const ProbeFailed& event, TimePoint now, Actions&)
+    {
+        auto* member = find(state, event.endpoint_);
+        if (member && member->probe_ == event.probe_ && member->probeOpened_)
+            failProbe(state, *member, now);
+    }
+
+    void handle(GroupState& state, const OrderAnswered& event, TimePoint now, Actions& actions)
+    {
+        auto* member = find(state, event.report_.endpoint_);
+        if (!member)
+            return;
+        if (event.kind_ == OrderKind::Follow && event.term_ == state.term_) {
+            member->followedTerm_ = event.term_;
+            member->reconnected_ = false;
+        }
+        // The answer to `fence` counts even if a newer report overtook it: it says what the member held when it
+        // stopped taking entries of older terms.
+        if (event.kind_ == OrderKind::Fence)
+            handleFenceAnswer(state, event);
+        accept(state, event.report_, now, actions);
+    }
+
+    void handle(GroupState& state, const OrderRefused& event, TimePoint now, Actions& actions)
+    {
+        handleRefusal(state, event, now, actions);
+    }
+
+    void handle(GroupState& state, const VoteReceived& event, TimePoint now, Actions&)
+    {
+        if (event.vote_.group_ != state.group_ || event.vote_.voter_ == state.self_)
+            return;
+        state.votes_[event.vote_.voter_] = { event.vote_, now };
+        learnPromised(state, event.vote_.highestPromised_, now);
+    }
+
+    void handle(GroupState& state, const ChangeOrdered& event, TimePoint, Actions& actions)
+    {
+        orderChange(state, event, actions);
+    }
+
+    void handle(GroupState&, const GroupTick&, TimePoint, Actions&) { }
+
+    void advanceProbes(GroupState& state, TimePoint now, Actions& actions)
+    {
+        for (auto& member : state.members_) {
+            if (member.probeOpened_ && now - *member.probeOpened_ >= state.timings_.probe_)
+                failProbe(state, member, now);
+            const bool silent = !member.heard_ || now - *member.heard_ >= state.timings_.suspicion_;
+            if (!member.probeOpened_ && (member.probeDue_ ? *member.probeDue_ <= now : silent))
+                openProbe(state, member, now, actions);
+        }
+    }
+
+    GroupVote makeVote(const GroupState& state, bool suspects)
+    {
+        const auto primary = primaryOf(state);
+        return { state.group_, state.self_, primary.value_or(EndpointId()),
+            primary ? state.term_ : std::max(state.term_, state.highestPromised_), suspects, state.highestPromised_ };
+    }
+
+    void advanceSuspicion(GroupState& state, TimePoint now, Actions& actions)
+    {
+        const auto view = viewPrimary(state, now);
+        if (view == PrimaryView::Works || state.members_.empty()) {
+            if (state.voteSent_)
+                actions.push_back(SendVote { makeVote(state, false) });
+            if (state.suspectedSince_ && !state.primary_.empty())
+                actions.push_back(
+                    LogChange { "group " + state.group_.value_ + ": primary " + state.primary_.value_ + " reports" });
+            state.voteSent_.reset();
+            state.suspectedSince_.reset();
+            return;
+        }
+        if (view == PrimaryView::Unsettled)
+            return;
+        if (!state.suspectedSince_) {
+            state.suspectedSince_ = now;
+            const auto primary = primaryOf(state);
+            actions.push_back(LogChange { "group " + state.group_.value_ + ": "
+                + (primary ? "primary " + primary->value_ + " does not answer" : "no member is primary") });
+        }
+        if (!state.voteSent_ || now - *state.voteSent_ >= state.timings_.probe_) {
+            state.voteSent_ = now;
+            actions.push_back(SendVote { makeVote(state, true) });
+        }
+    }
+
+} // namespace
+
+GroupState makeGroupState(GroupId group, InstanceId self, std::string promoter, const GroupTimings& timings)
+{
+    GroupState state;
+    state.group_ = std::move(group);
+    state.self_ = std::move(self);
+    state.random_.seed(static_cast<std::uint32_t>(std::hash<std::string>()(promoter)));
+    state.promoter_ = std::move(promoter);
+    state.timings_ = timings;
+    return state;
+}
+
+std::vector<GroupAction> step(GroupState& state, const GroupEvent& event, TimePoint now)
+{
+    Actions actions;
+    std::visit([&](const auto& value) { handle(state, value, now, actions); }, event);
+    advanceProbes(state, now, actions);
+    advanceSuspicion(state, now, actions);
+    advancePromotion(state, now, actions);
+    state.stepped_ = now;
+    return actions;
+}
+
+std::optional<EndpointId> primaryOf(const GroupState& state)
+{
+    const auto* member = find(state, state.primary_);
+    if (!member || !member->report_ || member->report_->role_ != MemberRole::Primary
+        || member->report_->promisedTerm_ != state.term_)
+        return std::nullopt;
+    return state.primary_;
+}
+
+bool isConfirmed(const GroupState& state, const LogPosition& position)
+{
+    const auto holds = [&](const MemberState& member) {
+        return member.confirmed_.term_ == position.term_ && member.confirmed_.index_ >= position.index_;
+    };
+    const auto holders = std::count_if(state.members_.begin(), state.members_.end(), holds);
+    return static_cast<std::size_t>(holders) >= majority(state);
+}
+
+bool hasMajority(const GroupState& state, TimePoint now)
+{
+    const auto fresh = std::count_if(state.members_.begin(), state.members_.end(),
+        [&](const MemberState& member) { return isFresh(state, member, now); });
+    return static_cast<std::size_t>(fresh) >= majority(state);
+}
+
+bool mayReadAtPrimary(const GroupState& state, TimePoint now)
+{
+    if (!primaryOf(state))
+        return false;
+    const auto agreeing = std::count_if(state.members_.begin(), state.members_.end(), [&](const MemberState& member) {
+        return isFresh(state, member, now) && member.report_->promisedTerm_ <= state.term_;
+    });
+    return static_cast<std::size_t>(agreeing) >= majority(state);
+}
+
+std::optional<LogPosition> positionOf(const GroupState& state, const EndpointId& endpoint)
+{
+    const auto* member = find(state, endpoint);
+    return member && member->report_ ? std::optional(member->report_->position_) : std::nullopt;
+}
+
+std::optional<TimePoint> nextWakeup(const GroupState& state)
+{
+    std::optional<TimePoint> next;
+    // Everything due at the last step was dealt with in it; what is older waits for another condition.
+    const auto consider = [&](std::optional<TimePoint> time, Duration delay = {}) {
+        if (time && *time + delay > state.stepped_ && (!next || *time + delay < *next))
+            next = *time + delay;
+    };
+    const auto& timings = state.timings_;
+    const auto rank = static_cast<int>(rankOf(state).value_or(0));
+    for (const auto& member : state.members_) {
+        consider(member.probeOpened_, timings.probe_);
+        consider(member.probeDue_);
+        consider(member.heard_, timings.suspicion_);
+        consider(member.followSent_, timings.resend_);
+        consider(member.followNeeded_, timings.resend_ + rank * timings.rankDelay_);
+        if (member.report_)
+            consider(member.progressed_, timings.stalled_);
+    }
+    consider(state.voteSent_, timings.probe_);
+    consider(state.suspectedSince_, timings.withoutPrimary_);
+    consider(state.decidableSince_, rank * timings.rankDelay_);
+    consider(state.lastPromotion_, timings.promotionInterval_);
+    consider(state.retryAt_);
+    if (state.highestPromised_ > state.term_)
+        consider(state.highestPromisedSince_, timings.unfinished_);
+    if (state.promotion_) {
+        consider(state.promotion_->sent_, timings.resend_);
+        consider(state.promotion_->started_, timings.unfinished_);
+        if (state.promotion_->chosen_)
+            consider(state.promotion_->chosenAt_, timings.unfinished_);
+    }
+    if (state.change_) {
+        consider(state.change_->paused_, timings.catchUpLimit_);
+        consider(state.change_->caughtUpSince_, timings.settled_);
+    }
+    return next;
+}
+
+} // namespace cassiahollow
