--- a/include/cassiahollow/request/Forward.h
+++ b/include/cassiahollow/request/Forward.h
@@ -19,6 +19,7 @@
     RunInTransaction,
     Commit,
     Rollback,
+    Lookup, ///< Asks for the stored answer of a key; runs nothing.
 };
 
 /// One attempt of a request, as the holder of an endpoint receives it.
@@ -50,8 +51,9 @@
     std::string detail_;
     std::vector<std::string> answers_; ///< One JSON value for each statement.
     LogPosition position_;
-    bool repeatedKey_ { false }; ///< The answer was stored by an earlier attempt with the same key.
-    EndpointId redirect_; ///< Not empty: this endpoint should serve the read.
+    /// The answer was stored by an earlier attempt with the same key. For Lookup: whether the key is present.
+    bool repeatedKey_ { false };
+    EndpointId redirect_; ///< Not empty: this endpoint should serve the read, at position_ or later.
     Term routeTerm_ { 0 }; ///< The holder's newest route of the group; 0 if it knows of none.
     EndpointId routePrimary_;
     bool wasSent_ { false }; ///< Bytes of the request went to the endpoint.
--- a/include/cassiahollow/request/ReadRouting.h
+++ b/include/cassiahollow/request/ReadRouting.h
@@ -103,6 +103,10 @@
 /// answer has to be dropped and the read chosen again with primaryOnly_ set.
 std::optional<Reason> checkReadAnswer(LogPosition required, LogPosition answered);
 
+/// Whether a position proves that data read at it is not older than the age. Checked again on the answer of a read
+/// with a stated age, because the read may have waited in a queue since it was routed.
+bool provesAge(const GroupView&, LogPosition, Duration maxAge, TimePoint now);
+
 /// Records a report that arrived now: positions, learned lag and age proofs. Reports of endpoints that are not
 /// members are ignored.
 void applyReport(GroupView&, const PositionReport&, TimePoint now);
--- a/src/request/Forward.cpp
+++ b/src/request/Forward.cpp
@@ -110,7 +110,7 @@
     bool isValid(const wire::RunRequest& request)
     {
         constexpr std::int64_t longest = 24LL * 3600 * 1000000;
-        return request.operation() <= static_cast<std::uint32_t>(ForwardOperation::Rollback)
+        return request.operation() <= static_cast<std::uint32_t>(ForwardOperation::Lookup)
             && request.remaining_us() <= longest && request.remaining_us() >= -longest && request.max_age_us() >= 0
             && request.max_age_us() <= longest;
     }
--- a/src/request/ReadRouting.cpp
+++ b/src/request/ReadRouting.cpp
@@ -140,7 +140,7 @@
     group.primaryAnswer_.reset();
 }
 
-void applyReport(GroupView& group, const MemberReport& report, TimePoint now)
+void applyReport(GroupView& group, const PositionReport& report, TimePoint now)
 {
     auto* member = findMember(group, report.endpoint_);
     if (!member)
@@ -218,6 +218,12 @@
     return ReadRefused { Reason::GroupWithoutMajority };
 }
 
+bool provesAge(const GroupView& group, LogPosition position, Duration maxAge, TimePoint now)
+{
+    const auto required = positionOfAge(group, maxAge, now);
+    return required && position >= *required;
+}
+
 std::optional<Reason> checkReadAnswer(LogPosition required, LogPosition answered)
 {
     if (answered < required)
--- a/src/version/GroupTerm.cpp
+++ b/src/version/GroupTerm.cpp
@@ -104,7 +104,7 @@
 
     void learnPrimary(GroupState& state, const MemberReport& report, TimePoint now, Actions& actions)
     {
-        if (report.role_ != MemberRole::Primary)
+        if (report.role_ != EndpointRole::Primary)
             return;
         if (report.promisedTerm_ == state.term_ && !state.primary_.empty() && state.primary_ != report.endpoint_) {
             actions.push_back(LogChange { "group " + state.group_.value_ + ": " + report.endpoint_.value_ + " and "
@@ -342,7 +342,7 @@
 std::optional<EndpointId> primaryOf(const GroupState& state)
 {
     const auto* member = find(state, state.primary_);
-    if (!member || !member->report_ || member->report_->role_ != MemberRole::Primary
+    if (!member || !member->report_ || member->report_->role_ != EndpointRole::Primary
         || member->report_->promisedTerm_ != state.term_)
         return std::nullopt;
     return state.primary_;
--- a/tests/GroupTermTest.cpp
+++ b/tests/GroupTermTest.cpp
@@ -37,7 +37,7 @@
             actions_.push_back(std::move(action));
     }
 
-    void set(const EndpointId& endpoint, MemberRole role, Term promised, LogPosition position)
+    void set(const EndpointId& endpoint, EndpointRole role, Term promised, LogPosition position)
     {
         reports_[endpoint] = { endpoint, role, promised, position, false };
     }
@@ -45,9 +45,9 @@
     /// Group in term 1 with primary a; everything is replicated.
     void warm()
     {
-        set(a, MemberRole::Primary, 1, { 1, 5 });
-        set(b, MemberRole::Replica, 1, { 1, 5 });
-        set(c, MemberRole::Replica, 1, { 1, 5 });
+        set(a, EndpointRole::Primary, 1, { 1, 5 });
+        set(b, EndpointRole::Replica, 1, { 1, 5 });
+        set(c, EndpointRole::Replica, 1, { 1, 5 });
         pass(0ms);
         actions_.clear();
     }
@@ -89,7 +89,7 @@
 
     void fenced(const EndpointId& endpoint, Term term, LogPosition position)
     {
-        set(endpoint, MemberRole::Replica, term, position);
+        set(endpoint, EndpointRole::Replica, term, position);
         feed(OrderAnswered { OrderKind::Fence, term, reports_[endpoint] });
     }
 
@@ -110,9 +110,9 @@
 {
     Watcher watcher;
     REQUIRE(watcher.take<OpenProbe>().size() == 3);
-    watcher.feed(ProbeAnswered { 2, { b, MemberRole::Replica, 4, { 4, 9 }, false } });
-    watcher.feed(ProbeAnswered { 3, { c, MemberRole::Replica, 4, { 4, 9 }, false } });
-    watcher.feed(ProbeAnswered { 1, { a, MemberRole::Primary, 4, { 4, 9 }, false } });
+    watcher.feed(ProbeAnswered { 2, { b, EndpointRole::Replica, 4, { 4, 9 }, false } });
+    watcher.feed(ProbeAnswered { 3, { c, EndpointRole::Replica, 4, { 4, 9 }, false } });
+    watcher.feed(ProbeAnswered { 1, { a, EndpointRole::Primary, 4, { 4, 9 }, false } });
     REQUIRE(primaryOf(watcher.state_) == a);
     REQUIRE(termOf(watcher.state_) == 4);
     REQUIRE(watcher.take<ReplaceWatch>().size() == 3);
@@ -125,14 +125,14 @@
 {
     Watcher watcher;
     for (const auto& endpoint : { a, b, c })
-        watcher.set(endpoint, MemberRole::Replica, 0, {});
+        watcher.set(endpoint, EndpointRole::Replica, 0, {});
     watcher.pass(300ms);
     REQUIRE(watcher.orders(OrderKind::Fence) == 3);
     watcher.fenced(b, 1, {});
     REQUIRE(watcher.orders(OrderKind::Promote) == 0);
     watcher.fenced(a, 1, {});
     REQUIRE(watcher.orders(OrderKind::Promote) == 1);
-    watcher.set(a, MemberRole::Primary, 1, { 1, 1 });
+    watcher.set(a, EndpointRole::Primary, 1, { 1, 1 });
     watcher.feed(OrderAnswered { OrderKind::Promote, 1, watcher.reports_[a] });
     REQUIRE(watcher.orders(OrderKind::Follow) == 2);
     REQUIRE(watcher.take<PublishRoute>().at(0).primary_ == a);
@@ -143,12 +143,12 @@
 {
     Watcher watcher;
     watcher.warm();
-    watcher.set(a, MemberRole::Primary, 1, { 1, 7 });
+    watcher.set(a, EndpointRole::Primary, 1, { 1, 7 });
     watcher.pass(0ms);
     REQUIRE_FALSE(isConfirmed(watcher.state_, { 1, 6 }));
     SECTION("a replica with the entry confirms")
     {
-        watcher.set(b, MemberRole::Replica, 1, { 1, 6 });
+        watcher.set(b, EndpointRole::Replica, 1, { 1, 6 });
         watcher.pass(0ms);
         REQUIRE(isConfirmed(watcher.state_, { 1, 6 }));
         REQUIRE_FALSE(isConfirmed(watcher.state_, { 1, 7 }));
@@ -156,7 +156,7 @@
     }
     SECTION("a replica that has promised a newer term does not")
     {
-        watcher.set(b, MemberRole::Replica, 2, { 1, 7 });
+        watcher.set(b, EndpointRole::Replica, 2, { 1, 7 });
         watcher.pass(0ms);
         REQUIRE_FALSE(isConfirmed(watcher.state_, { 1, 6 }));
     }
@@ -171,7 +171,7 @@
     watcher.pass(450ms);
     const auto probes = watcher.take<OpenProbe>();
     REQUIRE(probes.size() == 1);
-    watcher.feed(ProbeAnswered { probes[0].probe_, { a, MemberRole::Primary, 1, { 1, 5 }, false } });
+    watcher.feed(ProbeAnswered { probes[0].probe_, { a, EndpointRole::Primary, 1, { 1, 5 }, false } });
     REQUIRE(watcher.take<ReplaceWatch>().size() == 1);
     watcher.vote("w2", 1);
     watcher.vote("w3", 1);
@@ -206,7 +206,7 @@
         watcher.pass(500ms);
         watcher.vote("w3", 1);
         watcher.pass(2s);
-        watcher.set(b, MemberRole::Replica, 1, { 1, 5 });
+        watcher.set(b, EndpointRole::Replica, 1, { 1, 5 });
         watcher.pass(500ms);
         REQUIRE(watcher.orders(OrderKind::Fence) == 0);
     }
@@ -239,8 +239,8 @@
     Watcher watcher;
     watcher.warm();
     REQUIRE(mayReadAtPrimary(watcher.state_, watcher.now_));
-    watcher.set(b, MemberRole::Replica, 2, { 1, 5 });
-    watcher.set(c, MemberRole::Replica, 2, { 1, 5 });
+    watcher.set(b, EndpointRole::Replica, 2, { 1, 5 });
+    watcher.set(c, EndpointRole::Replica, 2, { 1, 5 });
     watcher.pass(0ms);
     REQUIRE_FALSE(mayReadAtPrimary(watcher.state_, watcher.now_));
 }
@@ -302,7 +302,7 @@
     SECTION("a report of the competing term gives way to that promoter")
     {
         watcher.actions_.clear();
-        watcher.set(b, MemberRole::Replica, 8, { 1, 5 });
+        watcher.set(b, EndpointRole::Replica, 8, { 1, 5 });
         watcher.pass(700ms);
         REQUIRE(watcher.orders(OrderKind::Fence) == 0);
         watcher.vote("w2", 1);
@@ -320,11 +320,11 @@
     const auto first = watcher.now_;
     watcher.fenced(b, 2, { 1, 5 });
     watcher.fenced(c, 2, { 1, 5 });
-    watcher.set(b, MemberRole::Primary, 2, { 2, 6 });
-    watcher.set(c, MemberRole::Replica, 2, { 2, 6 });
+    watcher.set(b, EndpointRole::Primary, 2, { 2, 6 });
+    watcher.set(c, EndpointRole::Replica, 2, { 2, 6 });
     watcher.pass(100ms);
     REQUIRE(primaryOf(watcher.state_) == b);
-    watcher.set(a, MemberRole::Replica, 2, { 2, 6 });
+    watcher.set(a, EndpointRole::Replica, 2, { 2, 6 });
     watcher.reports_.erase(b);
     watcher.actions_.clear();
     while (watcher.orders(OrderKind::Fence) == 0 && watcher.now_ < first + 10s) {
@@ -340,8 +340,8 @@
 {
     Watcher watcher;
     watcher.warm();
-    watcher.set(b, MemberRole::Primary, 2, { 2, 6 });
-    watcher.set(c, MemberRole::Replica, 2, { 2, 6 });
+    watcher.set(b, EndpointRole::Primary, 2, { 2, 6 });
+    watcher.set(c, EndpointRole::Replica, 2, { 2, 6 });
     watcher.pass(900ms);
     REQUIRE(primaryOf(watcher.state_) == b);
     const auto orders = watcher.take<SendOrder>();
@@ -352,7 +352,7 @@
         REQUIRE(order.primary_ == b);
         REQUIRE(order.term_ == 2);
     }
-    watcher.set(a, MemberRole::Replica, 2, { 2, 6 });
+    watcher.set(a, EndpointRole::Replica, 2, { 2, 6 });
     watcher.feed(OrderAnswered { OrderKind::Follow, 2, watcher.reports_[a] });
     watcher.actions_.clear();
     watcher.pass(2s);
@@ -364,7 +364,7 @@
 {
     Watcher watcher;
     watcher.warm();
-    watcher.set(c, MemberRole::Replica, 2, { 1, 5 });
+    watcher.set(c, EndpointRole::Replica, 2, { 1, 5 });
     watcher.pass(800ms);
     REQUIRE(watcher.orders(OrderKind::Fence) == 0);
     watcher.pass(300ms);
@@ -380,7 +380,7 @@
 {
     Watcher watcher;
     watcher.warm();
-    watcher.set(a, MemberRole::Primary, 1, { 1, 8 });
+    watcher.set(a, EndpointRole::Primary, 1, { 1, 8 });
     watcher.pass(50ms);
     watcher.feed(ChangeOrdered { c });
     REQUIRE(watcher.take<PauseWrites>().size() == 1);
@@ -389,13 +389,13 @@
     REQUIRE(watcher.orders(OrderKind::Fence) == 0);
     SECTION("when it has caught up it becomes primary")
     {
-        watcher.set(c, MemberRole::Replica, 1, { 1, 8 });
+        watcher.set(c, EndpointRole::Replica, 1, { 1, 8 });
         watcher.pass(100ms);
         REQUIRE(watcher.orders(OrderKind::Fence) == 3);
         watcher.fenced(a, 2, { 1, 8 });
         watcher.fenced(c, 2, { 1, 8 });
         REQUIRE(watcher.take<SendOrder>().back().endpoint_ == c);
-        watcher.set(c, MemberRole::Primary, 2, { 2, 9 });
+        watcher.set(c, EndpointRole::Primary, 2, { 2, 9 });
         watcher.feed(OrderAnswered { OrderKind::Promote, 2, watcher.reports_[c] });
         REQUIRE(watcher.take<ResumeWrites>().size() == 1);
         REQUIRE(watcher.take<RecordPhase>().at(0).phase_ == FailoverPhase::CatchUp);
@@ -416,8 +416,8 @@
     watcher.warm();
     watcher.feed(GroupConfigured { { { a, DataCentre("dc1") }, { b, DataCentre("dc2") } }, Watcher::watchers(true) });
     REQUIRE(watcher.take<CloseWatch>().at(0).endpoint_ == c);
-    watcher.set(a, MemberRole::Primary, 1, { 1, 6 });
-    watcher.set(c, MemberRole::Replica, 1, { 1, 6 });
+    watcher.set(a, EndpointRole::Primary, 1, { 1, 6 });
+    watcher.set(c, EndpointRole::Replica, 1, { 1, 6 });
     watcher.pass(0ms);
     REQUIRE_FALSE(isConfirmed(watcher.state_, { 1, 6 }));
     REQUIRE_FALSE(positionOf(watcher.state_, c));
