Add the replicated control log

Cause: settings, group member lists and change keys need one accepted order that survives the loss of a minority of the control members. Ruled out: founding by a majority of the listed members (two empty disks could found a second cluster while the third holds accepted changes); replacing an identity in one step (majorities need not overlap); a refusal relayed from a member that did not lead (a copy of the message may have been accepted, so the forwarding member reports Unknown). Before: no log.

--- /dev/null
+++ b/src/version/ControlLog.cpp
@@ -0,0 +1,1011 @@
+#include "cassiahollow/version/ControlLog.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+namespace cassiahollow {
+
+namespace {
+
+    // Entries in one message. A change has at most 256 KB, so the byte limit below rarely takes effect.
+    constexpr std::size_t maximumAppendEntries = 256;
+    // Operations in one message, to bound its size.
+    constexpr std::size_t maximumAppendOperations = 2000;
+    // A snapshot is a few megabytes at most and is sent again only after this time.
+    constexpr Duration snapshotResend = std::chrono::seconds(1);
+    // A hello counts this many hello intervals, so that a lost one does no harm.
+    constexpr int helloLifetime = 3;
+
+    // One call of step(): the state, the time, and the actions sorted by kind.
+    struct Step {
+        ControlLogState& state_;
+        TimePoint now_;
+        std::vector<PersistAction> persists_;
+        std::vector<SendAction> sends_;
+        std::vector<ControlAction> applies_;
+        std::vector<AnswerAction> answers_;
+    };
+
+    std::optional<Term> termAt(const ControlStored& stored, std::uint64_t index)
+    {
+        if (index == 0)
+            return 0;
+        if (stored.snapshot_ && stored.snapshot_->last_.index_ == index)
+            return stored.snapshot_->last_.term_;
+        if (stored.entries_.empty() || index < stored.entries_.front().position_.index_
+            || index > stored.entries_.back().position_.index_)
+            return std::nullopt;
+        return stored.entries_[index - stored.entries_.front().position_.index_].position_.term_;
+    }
+
+    const ControlEntry& entryAt(const ControlStored& stored, std::uint64_t index)
+    {
+        return stored.entries_[index - stored.entries_.front().position_.index_];
+    }
+
+    std::uint64_t configurationIndexOf(const ControlStored& stored)
+    {
+        for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
+            if (std::holds_alternative<ControlConfiguration>(entry->body_))
+                return entry->position_.index_;
+        }
+        return stored.snapshot_ ? stored.snapshot_->last_.index_ : 0;
+    }
+
+    bool isMember(const ControlConfiguration& configuration, const std::string& identity)
+    {
+        return std::any_of(configuration.members_.begin(), configuration.members_.end(),
+            [&](const ControlMember& member) { return member.identity_ == identity; });
+    }
+
+    // Whether the predicate holds for a majority of the voters.
+    bool hasMajority(
+        const ControlConfiguration& configuration, const std::function<bool(const std::string& identity)>& holds)
+    {
+        std::size_t voters = 0;
+        std::size_t holding = 0;
+        for (const auto& member : configuration.members_) {
+            if (!member.voter_)
+                continue;
+            ++voters;
+            holding += holds(member.identity_) ? 1 : 0;
+        }
+        return holding > voters / 2;
+    }
+
+    bool isLeader(const ControlLogState& state)
+    {
+        return state.role_ == ControlRole::Leader;
+    }
+
+    bool isOwnTermCommitted(const ControlLogState& state)
+    {
+        return isLeader(state) && termAt(state.stored_, state.commit_) == state.stored_.promise_.term_;
+    }
+
+    bool isRecent(TimePoint then, Duration age, TimePoint now)
+    {
+        return then != TimePoint() && now - then <= age;
+    }
+
+    // Whether the leader has heard from the member, or is the member, within an election timeout.
+    bool isAlive(const Step& step, const std::string& identity)
+    {
+        if (identity == step.state_.identity_)
+            return true;
+        const auto progress = step.state_.progress_.find(identity);
+        return progress != step.state_.progress_.end()
+            && isRecent(progress->second.heard_, step.state_.options_.electionTimeout_, step.now_);
+    }
+
+    // A member that hears a leader helps no other member to replace it, so that a member that comes back from
+    // isolation does not disturb a working cluster.
+    bool followsLeader(const Step& step)
+    {
+        const auto& state = step.state_;
+        return isLeader(state)
+            || (state.hasHeardLeader_ && step.now_ - state.leaderHeard_ < state.options_.electionTimeout_);
+    }
+
+    void resetElection(Step& step)
+    {
+        const auto timeout = step.state_.options_.electionTimeout_;
+        std::uniform_int_distribution<Duration::rep> extra(0, timeout.count());
+        step.state_.electionDeadline_ = step.now_ + timeout + Duration(extra(step.state_.random_));
+    }
+
+    void refreshConfiguration(Step& step)
+    {
+        auto& state = step.state_;
+        const auto* configuration = configurationOf(state.stored_);
+        state.configuration_ = configuration ? std::optional(*configuration) : std::nullopt;
+        state.configurationIndex_ = configurationIndexOf(state.stored_);
+        if (!isLeader(state))
+            return;
+        std::erase_if(state.progress_, [&](const auto& item) { return !isMember(*state.configuration_, item.first); });
+        for (const auto& member : state.configuration_->members_) {
+            if (member.identity_ != state.identity_)
+                state.progress_.try_emplace(
+                    member.identity_, MemberProgress { .next_ = lastPosition(state.stored_).index_ + 1 });
+        }
+    }
+
+    // Changes the stored contents and records the change as an action.
+    void persist(Step& step, PersistAction action)
+    {
+        applyPersist(step.state_.stored_, action);
+        const bool changesConfiguration = action.snapshot_ || action.truncateFrom_
+            || std::any_of(action.entries_.begin(), action.entries_.end(),
+                [](const ControlEntry& e) { return std::holds_alternative<ControlConfiguration>(e.body_); });
+        // One action is one synced write, so actions are joined where the order of their parts stays the same.
+        if (!step.persists_.empty() && !action.snapshot_ && !action.truncateFrom_) {
+            auto& last = step.persists_.back();
+            std::move(action.entries_.begin(), action.entries_.end(), std::back_inserter(last.entries_));
+            if (action.promise_)
+                last.promise_ = std::move(action.promise_);
+        } else {
+            step.persists_.push_back(std::move(action));
+        }
+        if (changesConfiguration)
+            refreshConfiguration(step);
+    }
+
+    template <typename Body> void send(Step& step, const InstanceId& recipient, std::string identity, Body body)
+    {
+        const auto& state = step.state_;
+        step.sends_.push_back({ recipient,
+            ControlMessage { state.configuration_ ? state.configuration_->cluster_ : std::string(), state.instance_,
+                state.identity_, std::move(identity), state.stored_.promise_.term_, std::move(body) } });
+    }
+
+    template <typename Body> void reply(Step& step, const ControlMessage& message, Body body)
+    {
+        send(step, message.sender_, message.senderIdentity_, std::move(body));
+    }
+
+    void answer(Step& step, const RequestOrigin& origin, ChangeOutcome outcome,
+        std::shared_ptr<const SettingsTree> settings = nullptr)
+    {
+        if (origin.instance_.empty())
+            step.answers_.push_back({ origin.number_, std::move(outcome), std::move(settings) });
+        else
+            send(step, origin.instance_, {}, RequestAnswer { origin.number_, std::move(outcome), std::move(settings) });
+    }
+
+    void answerRead(Step& step, const RequestOrigin& origin)
+    {
+        auto settings = std::make_shared<const SettingsTree>(step.state_.control_.settings_);
+        const auto revision = settings->revision_;
+        answer(
+            step, origin, { .outcome_ = Outcome::Done, .revision_ = revision, .decided_ = true }, std::move(settings));
+    }
+
+    void leaveLeadership(Step& step)
+    {
+        auto& state = step.state_;
+        // The entries may still be committed by the next leader, so their fate is unknown here.
+        const bool wrong = state.options_.wrongRules_.refusePendingOnStepDown_;
+        for (const auto& [index, origin] : state.pending_) {
+            auto outcome = undecidedOutcome(
+                Outcome::Unknown, Reason::AnswerLost, "the leader lost its majority before the change was confirmed");
+            if (wrong)
+                outcome = { .outcome_ = Outcome::NotRun, .reason_ = Reason::NoControlMajority, .decided_ = true };
+            answer(step, origin, std::move(outcome));
+        }
+        for (const auto& read : state.reads_)
+            answer(step, read.origin_, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, {}));
+        state.pending_.clear();
+        state.reads_.clear();
+        state.progress_.clear();
+    }
+
+    // Follows the given term. The leader of the term, if any, is known from its first message.
+    void becomeFollower(Step& step, Term term)
+    {
+        auto& state = step.state_;
+        const bool wasLeader = isLeader(state);
+        state.role_ = ControlRole::Follower;
+        if (term > state.stored_.promise_.term_) {
+            persist(step, { .promise_ = ControlPromise { term, {} } });
+            state.leader_.reset();
+            state.hasHeardLeader_ = false;
+        }
+        if (wasLeader) {
+            leaveLeadership(step);
+            state.leader_.reset();
+            state.hasHeardLeader_ = false;
+            resetElection(step);
+        }
+    }
+
+    void sendAppend(Step& step, const ControlMember& member)
+    {
+        auto& state = step.state_;
+        auto& progress = state.progress_.at(member.identity_);
+        const auto& stored = state.stored_;
+        const auto last = lastPosition(stored);
+        AppendRequest request { .commit_ = state.commit_, .round_ = state.round_ };
+        const auto previousTerm = termAt(stored, progress.next_ - 1);
+        const bool hasNext = progress.next_ > last.index_
+            || (!stored.entries_.empty() && progress.next_ >= stored.entries_.front().position_.index_);
+        if (!previousTerm || !hasNext) {
+            // The entries are compacted away. Between snapshots, a request that does not match keeps the contact.
+            if (!isRecent(progress.snapshotSent_, snapshotResend, step.now_)) {
+                progress.snapshotSent_ = step.now_;
+                send(step, member.instance_, member.identity_, SnapshotRequest { stored.snapshot_, state.round_ });
+                return;
+            }
+            request.previous_ = last;
+            send(step, member.instance_, member.identity_, std::move(request));
+            return;
+        }
+        request.previous_ = { *previousTerm, progress.next_ - 1 };
+        std::size_t operations = 0;
+        while (progress.next_ <= last.index_ && request.entries_.size() < maximumAppendEntries
+            && operations < maximumAppendOperations) {
+            request.entries_.push_back(entryAt(stored, progress.next_++));
+            if (const auto* change = std::get_if<ControlChange>(&request.entries_.back().body_)) {
+                if (const auto* settings = std::get_if<SettingsChange>(&change->command_))
+                    operations += settings->operations_.size();
+            }
+        }
+        send(step, member.instance_, member.identity_, std::move(request));
+    }
+
+    void broadcast(Step& step)
+    {
+        auto& state = step.state_;
+        ++state.round_;
+        state.lastBroadcast_ = step.now_;
+        for (const auto& member : state.configuration_->members_) {
+            if (member.identity_ != state.identity_)
+                sendAppend(step, member);
+        }
+    }
+
+    void append(Step& step, decltype(ControlEntry::body_) body)
+    {
+        const auto& stored = step.state_.stored_;
+        persist(
+            step, { .entries_ = { { { stored.promise_.term_, lastPosition(stored).index_ + 1 }, std::move(body) } } });
+    }
+
+    void confirmReads(Step& step)
+    {
+        auto& state = step.state_;
+        if (!isOwnTermCommitted(state))
+            return;
+        const bool isNew = std::any_of(
+            state.reads_.begin(), state.reads_.end(), [](const WaitingRead& read) { return read.round_ == 0; });
+        if (isNew) {
+            broadcast(step);
+            for (auto& read : state.reads_) {
+                if (read.round_ == 0)
+                    read.round_ = state.round_;
+            }
+        }
+        std::erase_if(state.reads_, [&](const WaitingRead& read) {
+            const bool confirmed = hasMajority(*state.configuration_, [&](const std::string& identity) {
+                return identity == state.identity_ || state.progress_.at(identity).round_ >= read.round_;
+            });
+            if (confirmed)
+                answerRead(step, read.origin_);
+            return confirmed;
+        });
+    }
+
+    ChangeOutcome applyEntryChange(ControlLogState& state, const ControlChange& change)
+    {
+        const auto& wrong = state.options_.wrongRules_;
+        auto copy = change;
+        if (auto* settings = std::get_if<SettingsChange>(&copy.command_); settings && wrong.ignoreSeenRevision_)
+            settings->seenRevision_ = state.control_.settings_.revision_;
+        if (wrong.forgetKeys_)
+            state.control_.outcomes_.erase(copy.key_);
+        return applyChange(state.control_, copy);
+    }
+
+    void takeSnapshot(Step& step)
+    {
+        auto& state = step.state_;
+        const auto last = state.stored_.snapshot_ ? state.stored_.snapshot_->last_.index_ : 0;
+        if (state.applied_ - last < state.options_.snapshotAfter_)
+            return;
+        // The latest configuration may lie behind the applied entries and does not belong to the snapshot then.
+        ControlConfiguration configuration;
+        if (state.stored_.snapshot_)
+            configuration = state.stored_.snapshot_->configuration_;
+        for (auto index = std::max(last + 1, state.stored_.entries_.front().position_.index_); index <= state.applied_;
+             ++index) {
+            if (const auto* found = std::get_if<ControlConfiguration>(&entryAt(state.stored_, index).body_))
+                configuration = *found;
+        }
+        const LogPosition position { *termAt(state.stored_, state.applied_), state.applied_ };
+        const auto kept = std::min(state.options_.keptEntries_, state.applied_);
+        persist(step,
+            { .snapshot_ = std::make_shared<const ControlSnapshot>(
+                  ControlSnapshot { position, std::move(configuration), state.control_ }),
+                .keepFrom_ = state.applied_ - kept + 1 });
+    }
+
+    void reportSettings(Step& step)
+    {
+        step.applies_.emplace_back(
+            ApplySettingsAction { std::make_shared<const SettingsTree>(step.state_.control_.settings_) });
+    }
+
+    void applyCommitted(Step& step)
+    {
+        auto& state = step.state_;
+        const auto before = state.control_.settings_.revision_;
+        std::set<GroupId> groups;
+        while (state.applied_ < state.commit_) {
+            const auto& entry = entryAt(state.stored_, ++state.applied_);
+            std::optional<ChangeOutcome> outcome;
+            if (const auto* change = std::get_if<ControlChange>(&entry.body_)) {
+                outcome = applyEntryChange(state, *change);
+                if (const auto* group = std::get_if<GroupMembersChange>(&change->command_))
+                    groups.insert(group->group_);
+            } else if (const auto* start = std::get_if<StartSettings>(&entry.body_)) {
+                if (state.control_.settings_.revision_ == 0) {
+                    state.control_.settings_ = start->tree_;
+                    state.control_.settings_.revision_ = 1;
+                }
+            } else if (std::holds_alternative<ControlConfiguration>(entry.body_)) {
+                outcome = { .outcome_ = Outcome::Done, .revision_ = state.applied_, .decided_ = true };
+            }
+            if (const auto waiting = state.pending_.find(state.applied_); waiting != state.pending_.end()) {
+                answer(step, waiting->second, outcome.value_or(ChangeOutcome {}));
+                state.pending_.erase(waiting);
+            }
+        }
+        if (state.control_.settings_.revision_ != before)
+            reportSettings(step);
+        for (const auto& group : groups) {
+            if (const auto found = state.control_.groups_.find(group); found != state.control_.groups_.end())
+                step.applies_.emplace_back(ApplyGroupAction { found->first, found->second });
+        }
+        takeSnapshot(step);
+    }
+
+    void advanceCommit(Step& step)
+    {
+        auto& state = step.state_;
+        for (auto index = lastPosition(state.stored_).index_; index > state.commit_; --index) {
+            // An entry of an older term can still be replaced until an entry of the own term is committed after it.
+            if (termAt(state.stored_, index) != state.stored_.promise_.term_)
+                break;
+            const bool held = hasMajority(*state.configuration_, [&](const std::string& identity) {
+                return identity == state.identity_ || state.progress_.at(identity).match_ >= index;
+            });
+            if (!held)
+                continue;
+            state.commit_ = index;
+            applyCommitted(step);
+            break;
+        }
+        confirmReads(step);
+        const bool removed
+            = state.configurationIndex_ <= state.commit_ && !isVoter(*state.configuration_, state.identity_);
+        if (removed) {
+            // The others learn the commit now, because this member sends no more heartbeats.
+            broadcast(step);
+            becomeFollower(step, state.stored_.promise_.term_);
+        }
+    }
+
+    void propose(Step& step, decltype(ControlEntry::body_) body, const std::optional<RequestOrigin>& origin)
+    {
+        append(step, std::move(body));
+        if (origin)
+            step.state_.pending_.emplace(lastPosition(step.state_.stored_).index_, *origin);
+        broadcast(step);
+        advanceCommit(step);
+    }
+
+    void becomeLeader(Step& step)
+    {
+        auto& state = step.state_;
+        state.role_ = ControlRole::Leader;
+        state.leader_ = ControlMember { state.instance_, state.identity_, true };
+        state.progress_.clear();
+        refreshConfiguration(step);
+        for (auto& [identity, progress] : state.progress_)
+            progress.heard_ = step.now_;
+        if (state.control_.settings_.revision_ == 0)
+            propose(step, StartSettings { state.start_ }, std::nullopt);
+        else
+            propose(step, EmptyEntry {}, std::nullopt);
+    }
+
+    void countVotes(Step& step);
+
+    void campaign(Step& step, ControlRole role)
+    {
+        auto& state = step.state_;
+        state.role_ = role;
+        state.leader_.reset();
+        state.hasHeardLeader_ = false;
+        state.votes_ = { state.identity_ };
+        resetElection(step);
+        if (role == ControlRole::Candidate)
+            persist(step, { .promise_ = ControlPromise { state.stored_.promise_.term_ + 1, state.identity_ } });
+        for (const auto& member : state.configuration_->members_) {
+            if (!member.voter_ || member.identity_ == state.identity_)
+                continue;
+            if (role == ControlRole::Candidate) {
+                send(step, member.instance_, member.identity_, VoteRequest { lastPosition(state.stored_) });
+            } else {
+                send(step, member.instance_, member.identity_, PreVoteRequest { lastPosition(state.stored_) });
+                ++step.sends_.back().message_.term_;
+            }
+        }
+        countVotes(step);
+    }
+
+    void countVotes(Step& step)
+    {
+        auto& state = step.state_;
+        if (!hasMajority(*state.configuration_, [&](const std::string& id) { return state.votes_.contains(id); }))
+            return;
+        if (state.role_ == ControlRole::PreCandidate)
+            campaign(step, ControlRole::Candidate);
+        else if (state.role_ == ControlRole::Candidate)
+            becomeLeader(step);
+    }
+
+    bool isFreshHello(const Step& step, const SeenHello& hello)
+    {
+        return isRecent(hello.time_, helloLifetime * step.state_.options_.helloInterval_, step.now_);
+    }
+
+    // The listed instance with the lowest id founds the cluster once all listed instances have said that they have no
+    // configuration. All are needed: if a majority were enough, two members with empty disks could found a second
+    // cluster while the third holds accepted changes.
+    void foundIfPossible(Step& step)
+    {
+        auto& state = step.state_;
+        ControlConfiguration configuration;
+        for (const auto& instance : state.listed_) {
+            if (instance < state.instance_)
+                return;
+            if (instance == state.instance_) {
+                configuration.members_.push_back({ instance, state.identity_, true });
+                continue;
+            }
+            const auto hello = state.hellos_.find(instance);
+            if (hello == state.hellos_.end() || hello->second.founded_ || !isFreshHello(step, hello->second))
+                return;
+            configuration.members_.push_back({ instance, hello->second.identity_, true });
+        }
+        if (!isVoter(configuration, state.identity_))
+            return;
+        char cluster[17];
+        std::snprintf(cluster, sizeof(cluster), "%016llx", static_cast<unsigned long long>(state.random_()));
+        configuration.cluster_ = cluster;
+        // Nobody else can lead this term: all other members are without a configuration and do not campaign.
+        persist(step, { .promise_ = ControlPromise { state.stored_.promise_.term_ + 1, state.identity_ } });
+        append(step, std::move(configuration));
+        becomeLeader(step);
+    }
+
+    void sayHello(Step& step)
+    {
+        auto& state = step.state_;
+        if (!state.configuration_)
+            foundIfPossible(step);
+        if ((state.configuration_ && isMember(*state.configuration_, state.identity_)) || step.now_ < state.nextHello_)
+            return;
+        state.nextHello_ = step.now_ + state.options_.helloInterval_;
+        for (const auto& instance : state.listed_) {
+            if (instance != state.instance_)
+                send(step, instance, {}, ControlHello { state.configuration_.has_value(), true });
+        }
+    }
+
+    bool mayChangeConfiguration(const ControlLogState& state)
+    {
+        return isOwnTermCommitted(state) && state.configurationIndex_ <= state.commit_;
+    }
+
+    std::size_t voterCount(const ControlConfiguration& configuration)
+    {
+        return static_cast<std::size_t>(std::count_if(configuration.members_.begin(), configuration.members_.end(),
+            [](const ControlMember& member) { return member.voter_; }));
+    }
+
+    // Gives a learner that has caught up its vote. The member that it replaces is removed first, in a change of its
+    // own, because consecutive configurations may differ by one voter only.
+    bool promoteLearner(Step& step)
+    {
+        auto& state = step.state_;
+        for (const auto& learner : state.configuration_->members_) {
+            if (learner.voter_ || !isAlive(step, learner.identity_)
+                || state.progress_.at(learner.identity_).match_ < state.commit_)
+                continue;
+            auto next = *state.configuration_;
+            const auto old = std::find_if(next.members_.begin(), next.members_.end(),
+                [&](const ControlMember& m) { return m.voter_ && m.instance_ == learner.instance_; });
+            if (old != next.members_.end()) {
+                if (isAlive(step, old->identity_))
+                    continue;
+                next.members_.erase(old);
+                if (voterCount(next) == 0
+                    || !hasMajority(next, [&](const std::string& identity) { return isAlive(step, identity); }))
+                    continue;
+            } else {
+                if (voterCount(next) >= maximumControlVoters)
+                    continue;
+                std::find(next.members_.begin(), next.members_.end(), learner)->voter_ = true;
+            }
+            propose(step, std::move(next), std::nullopt);
+            return true;
+        }
+        return false;
+    }
+
+    // Admits, as a learner, the new identity of a member whose disk came back empty.
+    void admitNewIdentity(Step& step)
+    {
+        auto& state = step.state_;
+        for (const auto& item : state.hellos_) {
+            const auto& instance = item.first;
+            const auto& hello = item.second;
+            if (!isFreshHello(step, hello) || isMember(*state.configuration_, hello.identity_))
+                continue;
+            auto next = *state.configuration_;
+            bool isKnown = false;
+            bool isRunning = false;
+            for (const auto& member : next.members_) {
+                isKnown |= member.instance_ == instance;
+                isRunning |= member.instance_ == instance && isAlive(step, member.identity_);
+            }
+            // An instance that also answers with its old identity runs twice; the operator has to stop one of them.
+            if (!isKnown || isRunning)
+                continue;
+            std::erase_if(next.members_, [&](const auto& m) { return m.instance_ == instance && !m.voter_; });
+            next.members_.push_back({ instance, hello.identity_, false });
+            propose(step, std::move(next), std::nullopt);
+            return;
+        }
+    }
+
+    void leaderTick(Step& step)
+    {
+        auto& state = step.state_;
+        if (!hasMajority(*state.configuration_, [&](const std::string& identity) { return isAlive(step, identity); })) {
+            becomeFollower(step, state.stored_.promise_.term_);
+            return;
+        }
+        if (mayChangeConfiguration(state) && !promoteLearner(step))
+            admitNewIdentity(step);
+        if (isLeader(state) && step.now_ - state.lastBroadcast_ >= state.options_.heartbeatInterval_)
+            broadcast(step);
+    }
+
+    void handle(Step& step, const ControlTick&)
+    {
+        auto& state = step.state_;
+        std::erase_if(state.forwarded_, [&](const auto& item) {
+            const auto& request = item.second;
+            if (step.now_ < request.deadline_)
+                return false;
+            answer(step, { {}, request.token_ },
+                undecidedOutcome(request.isRead_ ? Outcome::NotRun : Outcome::Unknown,
+                    request.isRead_ ? Reason::NoControlMajority : Reason::AnswerLost, "the leader did not answer"));
+            return true;
+        });
+        sayHello(step);
+        if (isLeader(state))
+            leaderTick(step);
+        else if (state.configuration_ && isVoter(*state.configuration_, state.identity_)
+            && step.now_ >= state.electionDeadline_)
+            campaign(step, ControlRole::PreCandidate);
+    }
+
+    void changeMembers(Step& step, const RequestOrigin& origin, const ControlMemberChange& change)
+    {
+        auto& state = step.state_;
+        const auto refuse = [&](Reason reason, std::string detail) {
+            answer(step, origin, undecidedOutcome(Outcome::NotRun, reason, std::move(detail)));
+        };
+        const auto isOf = [&](const ControlMember& member) { return member.instance_ == change.instance_; };
+        auto next = *state.configuration_;
+        const bool isKnown = std::any_of(next.members_.begin(), next.members_.end(), isOf);
+        if (isKnown == change.add_) {
+            answer(
+                step, origin, { .outcome_ = Outcome::Done, .revision_ = state.configurationIndex_, .decided_ = true });
+            return;
+        }
+        if (!mayChangeConfiguration(state))
+            return refuse(Reason::QueueFull, "another change of the control members is not finished");
+        if (change.add_) {
+            const auto hello = state.hellos_.find(change.instance_);
+            if (hello == state.hellos_.end() || !isFreshHello(step, hello->second)) {
+                return refuse(Reason::SettingsInvalid,
+                    "instance " + change.instance_.value_
+                        + " has not announced itself; start it with a data folder and with this cluster's members in "
+                          "control.members");
+            }
+            next.members_.push_back({ change.instance_, hello->second.identity_, false });
+        } else {
+            std::erase_if(next.members_, isOf);
+            if (voterCount(next) == 0)
+                return refuse(Reason::SettingsInvalid, "the last voting control member cannot be removed");
+        }
+        propose(step, std::move(next), origin);
+    }
+
+    void lead(Step& step, const RequestOrigin& origin, const ControlRequest& request)
+    {
+        auto& state = step.state_;
+        const auto& wrong = state.options_.wrongRules_;
+        if (std::holds_alternative<ControlRead>(request) && wrong.readWithoutRound_)
+            return answerRead(step, origin);
+        if (state.pending_.size() + state.reads_.size() >= state.options_.maximumPending_) {
+            return answer(step, origin,
+                undecidedOutcome(Outcome::NotRun, Reason::QueueFull, "too many requests wait for a majority"));
+        }
+        if (std::holds_alternative<ControlRead>(request)) {
+            state.reads_.push_back({ origin });
+            return confirmReads(step);
+        }
+        if (const auto* change = std::get_if<ControlMemberChange>(&request))
+            return changeMembers(step, origin, *change);
+        if (wrong.answerAtAppend_) {
+            auto copy = state.control_;
+            answer(step, origin, applyChange(copy, std::get<ControlChange>(request)));
+            return propose(step, std::get<ControlChange>(request), std::nullopt);
+        }
+        propose(step, std::get<ControlChange>(request), origin);
+    }
+
+    // Tells whether the request is well formed, and answers it otherwise.
+    bool accepts(Step& step, const RequestOrigin& origin, const ControlRequest& request)
+    {
+        const auto* change = std::get_if<ControlChange>(&request);
+        if (!change)
+            return true;
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<bool> {
+                BOOST_LEAF_CHECK(checkChange(*change));
+                return true;
+            },
+            [&](const Failure& failure) {
+                answer(step, origin, undecidedOutcome(Outcome::NotRun, failure.reason_, failure.detail_));
+                return false;
+            },
+            [] { return false; });
+    }
+
+    void handle(Step& step, const LocalRequest& request)
+    {
+        auto& state = step.state_;
+        const RequestOrigin origin { {}, request.token_ };
+        if (!accepts(step, origin, request.request_))
+            return;
+        if (isLeader(state))
+            return lead(step, origin, request.request_);
+        if (!state.leader_ || !followsLeader(step)) {
+            return answer(
+                step, origin, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, "no leader is known here"));
+        }
+        const auto number = state.nextNumber_++;
+        state.forwarded_[number] = { request.token_, step.now_ + state.options_.requestTimeout_,
+            std::holds_alternative<ControlRead>(request.request_) };
+        send(step, state.leader_->instance_, {}, RequestMessage { number, request.request_ });
+    }
+
+    void receive(Step& step, const ControlMessage& message, const RequestMessage& request)
+    {
+        auto& state = step.state_;
+        const RequestOrigin origin { message.sender_, request.number_ };
+        if (!accepts(step, origin, request.request_))
+            return;
+        if (isLeader(state))
+            return lead(step, origin, request.request_);
+        answer(step, origin,
+            undecidedOutcome(Outcome::NotRun, Reason::NotLeader,
+                state.leader_ ? "the leader is " + state.leader_->instance_.value_ : "no leader is known here"));
+    }
+
+    void receive(Step& step, const ControlMessage&, const RequestAnswer& received)
+    {
+        auto& forwarded = step.state_.forwarded_;
+        const auto request = forwarded.find(received.number_);
+        if (request == forwarded.end())
+            return; // Repeated, or later than the request's deadline.
+        auto outcome = request->second.isRead_ ? received.outcome_ : forwardedOutcome(received.outcome_);
+        const auto token = request->second.token_;
+        forwarded.erase(request);
+        answer(step, { {}, token }, std::move(outcome), received.settings_);
+    }
+
+    void receive(Step& step, const ControlMessage& message, const ControlHello& hello)
+    {
+        auto& state = step.state_;
+        if (message.senderIdentity_.empty())
+            return;
+        state.hellos_[message.sender_] = { message.senderIdentity_, hello.founded_, step.now_ };
+        // Bounds the memory that hellos of instances without a place in the cluster take.
+        std::erase_if(state.hellos_, [&](const auto& item) { return !isFreshHello(step, item.second); });
+        if (hello.answerWanted_)
+            reply(step, message, ControlHello { state.configuration_.has_value(), false });
+    }
+
+    void receive(Step& step, const ControlMessage& message, const PreVoteRequest& request)
+    {
+        const auto& state = step.state_;
+        const bool granted = !followsLeader(step) && message.term_ > state.stored_.promise_.term_
+            && request.last_ >= lastPosition(state.stored_);
+        reply(step, message, PreVoteAnswer { granted });
+        // A granted answer carries the proposed term, which tells it apart from answers to earlier proposals.
+        if (granted)
+            step.sends_.back().message_.term_ = message.term_;
+    }
+
+    void receive(Step& step, const ControlMessage& message, const PreVoteAnswer& received)
+    {
+        auto& state = step.state_;
+        const auto term = state.stored_.promise_.term_;
+        if (!received.granted_) {
+            if (message.term_ > term)
+                becomeFollower(step, message.term_);
+            return;
+        }
+        if (state.role_ != ControlRole::PreCandidate || message.term_ != term + 1)
+            return;
+        state.votes_.insert(message.senderIdentity_);
+        countVotes(step);
+    }
+
+    void receive(Step& step, const ControlMessage& message, const VoteRequest& request)
+    {
+        auto& state = step.state_;
+        if (followsLeader(step))
+            return;
+        if (message.term_ > state.stored_.promise_.term_)
+            becomeFollower(step, message.term_);
+        const auto promise = state.stored_.promise_;
+        const bool isFree = promise.vote_.empty() || promise.vote_ == message.senderIdentity_
+            || state.options_.wrongRules_.voteTwice_;
+        const bool granted = message.term_ == promise.term_ && isFree && request.last_ >= lastPosition(state.stored_);
+        if (granted) {
+            if (promise.vote_ != message.senderIdentity_)
+                persist(step, { .promise_ = ControlPromise { promise.term_, message.senderIdentity_ } });
+            resetElection(step);
+        }
+        reply(step, message, VoteAnswer { granted });
+    }
+
+    void receive(Step& step, const ControlMessage& message, const VoteAnswer& received)
+    {
+        auto& state = step.state_;
+        if (message.term_ > state.stored_.promise_.term_)
+            return becomeFollower(step, message.term_);
+        if (state.role_ != ControlRole::Candidate || message.term_ != state.stored_.promise_.term_
+            || !received.granted_)
+            return;
+        state.votes_.insert(message.senderIdentity_);
+        countVotes(step);
+    }
+
+    // Accepts the sender as the leader of its term. Answers and returns false when the term is over.
+    bool follow(Step& step, const ControlMessage& message, std::uint64_t round)
+    {
+        auto& state = step.state_;
+        if (message.term_ < state.stored_.promise_.term_) {
+            reply(step, message, AppendAnswer { false, lastPosition(state.stored_).index_, round });
+            return false;
+        }
+        becomeFollower(step, message.term_);
+        state.leader_ = ControlMember { message.sender_, message.senderIdentity_, true };
+        state.leaderHeard_ = step.now_;
+        state.hasHeardLeader_ = true;
+        resetElection(step);
+        return true;
+    }
+
+    void receive(Step& step, const ControlMessage& message, const AppendRequest& request)
+    {
+        auto& state = step.state_;
+        if (!follow(step, message, request.round_))
+            return;
+        const auto& stored = state.stored_;
+        const auto last = lastPosition(stored).index_;
+        const auto previous = request.previous_.index_;
+        // Committed entries are equal in all logs, so a position up to the commit needs no comparison.
+        if (previous > state.commit_ && termAt(stored, previous) != request.previous_.term_) {
+            reply(step, message, AppendAnswer { false, std::min(last, previous - 1), request.round_ });
+            return;
+        }
+        PersistAction action;
+        for (const auto& entry : request.entries_) {
+            const auto index = entry.position_.index_;
+            if (index <= state.commit_ || (action.entries_.empty() && termAt(stored, index) == entry.position_.term_))
+                continue;
+            if (action.entries_.empty() && index <= last)
+                action.truncateFrom_ = index;
+            action.entries_.push_back(entry);
+        }
+        if (!action.entries_.empty())
+            persist(step, std::move(action));
+        const auto matched = std::max(previous + request.entries_.size(), std::min(state.commit_, last));
+        const auto commit = state.options_.wrongRules_.applyUncommitted_ ? matched : std::min(request.commit_, matched);
+        if (commit > state.commit_) {
+            state.commit_ = commit;
+            applyCommitted(step);
+        }
+        reply(step, message, AppendAnswer { true, matched, request.round_ });
+    }
+
+    void receive(Step& step, const ControlMessage& message, const SnapshotRequest& request)
+    {
+        auto& state = step.state_;
+        if (!follow(step, message, request.round_))
+            return;
+        const auto last = request.snapshot_->last_;
+        if (last.index_ > state.commit_) {
+            persist(step, { .snapshot_ = request.snapshot_, .keepFrom_ = last.index_ + 1 });
+            const auto before = state.control_.settings_.revision_;
+            state.control_ = request.snapshot_->state_;
+            state.commit_ = last.index_;
+            state.applied_ = last.index_;
+            if (state.control_.settings_.revision_ != before)
+                reportSettings(step);
+            for (const auto& [group, members] : state.control_.groups_)
+                step.applies_.emplace_back(ApplyGroupAction { group, members });
+        }
+        reply(step, message, AppendAnswer { true, state.commit_, request.round_ });
+    }
+
+    void receive(Step& step, const ControlMessage& message, const AppendAnswer& received)
+    {
+        auto& state = step.state_;
+        if (message.term_ > state.stored_.promise_.term_)
+            return becomeFollower(step, message.term_);
+        const auto found = state.progress_.find(message.senderIdentity_);
+        if (!isLeader(state) || message.term_ < state.stored_.promise_.term_ || found == state.progress_.end())
+            return;
+        auto& progress = found->second;
+        progress.heard_ = step.now_;
+        progress.round_ = std::max(progress.round_, received.round_);
+        const auto sendMore = [&] {
+            for (const auto& member : state.configuration_->members_) {
+                if (member.identity_ == message.senderIdentity_)
+                    return sendAppend(step, member);
+            }
+        };
+        if (!received.matched_) {
+            const auto next = std::max(std::min(progress.next_ - 1, received.index_ + 1), progress.match_ + 1);
+            // Without progress the next heartbeat tries again; an immediate attempt would repeat without end.
+            if (next < progress.next_) {
+                progress.next_ = next;
+                if (!isRecent(progress.snapshotSent_, snapshotResend, step.now_))
+                    sendMore();
+            }
+            return confirmReads(step);
+        }
+        progress.match_ = std::max(progress.match_, std::min(received.index_, lastPosition(state.stored_).index_));
+        progress.next_ = std::max(progress.next_, progress.match_ + 1);
+        if (progress.snapshotSent_ != TimePoint() && state.stored_.snapshot_
+            && progress.match_ >= state.stored_.snapshot_->last_.index_)
+            progress.snapshotSent_ = TimePoint();
+        if (progress.next_ <= lastPosition(state.stored_).index_)
+            sendMore();
+        advanceCommit(step);
+    }
+
+    // Whether the message is for this member, of this cluster, and does not contradict a commit.
+    bool isAcceptable(const ControlLogState& state, const ControlMessage& message)
+    {
+        const auto& body = message.body_;
+        if (std::holds_alternative<ControlHello>(body) || std::holds_alternative<RequestMessage>(body)
+            || std::holds_alternative<RequestAnswer>(body))
+            return message.sender_ != state.instance_;
+        if (message.recipientIdentity_ != state.identity_ || message.senderIdentity_.empty()
+            || message.senderIdentity_ == state.identity_)
+            return false;
+        if (state.configuration_ && !message.cluster_.empty() && message.cluster_ != state.configuration_->cluster_)
+            return false;
+        if (const auto* snapshot = std::get_if<SnapshotRequest>(&body))
+            return snapshot->snapshot_ && snapshot->snapshot_->last_.index_ > 0;
+        const auto* append = std::get_if<AppendRequest>(&body);
+        if (!append)
+            return true;
+        auto index = append->previous_.index_;
+        auto term = append->previous_.term_;
+        for (const auto& entry : append->entries_) {
+            if (entry.position_.index_ != ++index || entry.position_.term_ < term
+                || entry.position_.term_ > message.term_)
+                return false;
+            term = entry.position_.term_;
+            const auto own = termAt(state.stored_, index);
+            if (index <= state.commit_ && own && *own != term)
+                return false;
+        }
+        return true;
+    }
+
+    void handle(Step& step, const ControlMessage& message)
+    {
+        if (!isAcceptable(step.state_, message)) {
+            ++step.state_.dropped_;
+            return;
+        }
+        std::visit([&](const auto& body) { receive(step, message, body); }, message.body_);
+    }
+
+} // namespace
+
+void applyPersist(ControlStored& stored, const PersistAction& action)
+{
+    auto& entries = stored.entries_;
+    if (action.snapshot_) {
+        const auto last = action.snapshot_->last_;
+        // Entries after the snapshot stay only when the log holds the snapshot's last entry; else they may conflict.
+        if (termAt(stored, last.index_) != last.term_)
+            entries.clear();
+        while (!entries.empty() && entries.front().position_.index_ < action.keepFrom_)
+            entries.pop_front();
+        stored.snapshot_ = action.snapshot_;
+    }
+    if (action.truncateFrom_) {
+        while (!entries.empty() && entries.back().position_.index_ >= *action.truncateFrom_)
+            entries.pop_back();
+    }
+    entries.insert(entries.end(), action.entries_.begin(), action.entries_.end());
+    if (action.promise_)
+        stored.promise_ = *action.promise_;
+}
+
+const ControlConfiguration* configurationOf(const ControlStored& stored)
+{
+    for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
+        if (const auto* configuration = std::get_if<ControlConfiguration>(&entry->body_))
+            return configuration;
+    }
+    return stored.snapshot_ ? &stored.snapshot_->configuration_ : nullptr;
+}
+
+ControlLogState startControlLog(InstanceId instance, std::string identity, std::vector<InstanceId> listed,
+    SettingsTree start, ControlStored stored, const ControlLogOptions& options, std::uint64_t seed, TimePoint now)
+{
+    ControlLogState state;
+    state.instance_ = std::move(instance);
+    state.identity_ = std::move(identity);
+    state.listed_ = std::move(listed);
+    state.start_ = std::move(start);
+    state.options_ = options;
+    state.stored_ = std::move(stored);
+    state.random_.seed(seed);
+    state.nextNumber_ = state.random_();
+    state.nextHello_ = now;
+    if (state.stored_.snapshot_) {
+        state.control_ = state.stored_.snapshot_->state_;
+        state.commit_ = state.stored_.snapshot_->last_.index_;
+        state.applied_ = state.commit_;
+    }
+    Step step { .state_ = state, .now_ = now };
+    refreshConfiguration(step);
+    resetElection(step);
+    return state;
+}
+
+std::vector<ControlAction> step(ControlLogState& state, const ControlEvent& event, TimePoint now)
+{
+    Step step { .state_ = state, .now_ = now };
+    std::visit([&](const auto& known) { handle(step, known); }, event);
+    std::vector<ControlAction> actions;
+    const auto move = [&](auto& list) { std::move(list.begin(), list.end(), std::back_inserter(actions)); };
+    move(step.persists_);
+    move(step.sends_);
+    move(step.applies_);
+    move(step.answers_);
+    return actions;
+}
+
+} // namespace cassiahollow
