--- a/include/cassiahollow/request/WriteAttempt.h
+++ b/include/cassiahollow/request/WriteAttempt.h
@@ -5,6 +5,7 @@
 #include "cassiahollow/request/RetryBudget.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,13 +37,12 @@
     TimePoint deadline_;
 };
 
-/// An attempt that was given out and has not been resolved. It counts as possibly run from the moment it is given
-/// out, because the event that it was sent may itself be lost.
+/// An attempt that was given out and not proved to be without effect.
 struct OpenAttempt {
     std::uint64_t number_ { 0 };
     Term term_ { 0 };
-    bool sent_ { false }; ///< Bytes may have reached the endpoint.
-    bool lost_ { false }; ///< Its connection is gone; no answer is expected.
+    bool sent_ { false }; ///< WriteSent was received: bytes may have reached the endpoint.
+    bool over_ { false }; ///< Its connection is gone or it has answered; no further event is expected.
     bool lookup_ { false }; ///< A question about the key; never runs anything.
 };
 
@@ -60,17 +60,18 @@
     std::optional<WriteRoute> route_;
     std::vector<OpenAttempt> open_;
     std::optional<UnconfirmedResult> result_;
-    LogPosition confirmed_; ///< The newest confirmed position of the group.
+    std::map<Term, std::uint64_t> confirmed_; ///< The newest confirmed index of each term.
     std::uint64_t attempts_ { 0 }; ///< Attempts given out, lookups included.
     std::uint32_t retries_ { 0 };
     std::optional<TimePoint> retryAt_; ///< When to try again; absent while an attempt or a confirmation is awaited.
     Term staleTerm_ { 0 }; ///< Routes at or below this term are known to be out of date.
-    bool budgetSpent_ { false };
+    std::optional<Reason> refusal_; ///< Why the request itself cannot run; it is not sent again.
+    bool budgetSpent_ { false }; ///< The last retry had to wait for the budget.
     bool answered_ { false };
 };
 
-/// The attempt's bytes are being handed to the connection. Without this event a lost attempt is still taken as
-/// possibly sent unless WriteConnectionLost says otherwise.
+/// The attempt's bytes are about to be handed to a connection or to another instance. Has to be fed before that:
+/// an attempt without this event counts as not run. Nothing may be sent if maySend() is false.
 struct WriteSent {
     std::uint64_t attempt_ { 0 };
 };
@@ -78,7 +79,7 @@
 /// The endpoint answered `done`.
 struct WriteAnswered {
     std::uint64_t attempt_ { 0 };
-    LogPosition position_; ///< log_term and log_index of the answer.
+    LogPosition position_; ///< log_term and log_index of the answer; of a stored answer those of the first run.
 };
 
 /// The endpoint, or its holder before sending, said that the attempt was not run.
@@ -92,10 +93,10 @@
 struct WriteLookedUp {
     std::uint64_t attempt_ { 0 };
     bool present_ { false };
-    LogPosition position_; ///< Position in the stored answer; 0:0 if absent.
+    LogPosition position_; ///< Position in the stored answer; 0:0 if the key is absent or the position unknown.
 };
 
-/// The connection, or the instance that holds it, is gone.
+/// The connection, or the instance that holds it, is gone or has been silent for too long.
 struct WriteConnectionLost {
     std::uint64_t attempt_ { 0 };
     bool unsent_ { false }; ///< True only if it is certain that no byte of the attempt reached the connection.
@@ -153,6 +154,9 @@
 /// the answer.
 WriteAction stepWrite(WriteState&, const WriteEvent&, RetryBudget&, TimePoint now);
 
+/// Whether the attempt may be sent: it has not been replaced by a later one and the caller has no answer yet.
+bool maySend(const WriteState&, std::uint64_t attempt);
+
 /// The key at the endpoint for a key of a caller. It contains the service, so that services with equal keys do not
 /// get each other's answers.
 std::string callerWriteKey(const ServiceId&, std::string_view callerKey);
