--- a/include/cassiahollow/process/Directory.h
+++ b/include/cassiahollow/process/Directory.h
@@ -65,7 +65,7 @@
 };
 
 /// An operator's order to drain an endpoint. It holds for the start of the endpoint that is named, so that a restarted
-/// endpoint gets work again. Ordered by the start time.
+/// endpoint gets work again. Ordered by the start time; stored only with the endpoint's record.
 struct DrainRecord {
     EndpointId endpoint_;
     std::uint64_t started_ { 0 };
--- a/include/cassiahollow/process/Membership.h
+++ b/include/cassiahollow/process/Membership.h
@@ -41,7 +41,7 @@
     Update, ///< Records that should be known everywhere quickly; not answered.
     Announcement, ///< The announcement of an endpoint, forwarded to its holder.
     Digest, ///< Opens a repair: the receiver answers with a Repair.
-    Repair, ///< Records of buckets that differ, and the digest if the receiver shall send its own ones back.
+    Repair, ///< Records of buckets that differ; the last one of a batch has the digest if records shall come back.
 };
 
 /// The instances that apply a settings revision, by the 32-bit hashes of their ids. After each change of settings all
@@ -182,6 +182,7 @@
     bool started_ { false };
     bool synced_ { false }; ///< A repair with a peer has left no difference since the start.
     TimePoint lastStep_ {};
+    TimePoint resumedAt_ {}; ///< When this process last continued after a freeze.
 
     // Failure detection.
     std::vector<InstanceId> probeOrder_;
--- a/src/process/Directory.cpp
+++ b/src/process/Directory.cpp
@@ -59,6 +59,16 @@
         return false;
     }
 
+    /// An order to drain is forgotten with its endpoint and would otherwise be repaired back without it.
+    bool hasSubject(const DirectoryState& state, const DrainRecord& record)
+    {
+        return state.endpoints_.contains(record.endpoint_);
+    }
+    template <typename Other> bool hasSubject(const DirectoryState&, const Other&)
+    {
+        return true;
+    }
+
     template <typename Kind> std::uint32_t digestShare(const RecordKey& key, const Kind& record)
     {
         if (isEnded(record))
@@ -137,7 +147,7 @@
         const auto known = table.find(idOf(record));
         const auto bucket = bucketOf(key);
         if (known == table.end()) {
-            if (isEnded(record))
+            if (isEnded(record) || !hasSubject(state, record))
                 return MergeResult::Ignored;
             table.emplace(idOf(record), record);
             state.buckets_[bucket].insert(key);
--- a/tests/DirectoryTest.cpp
+++ b/tests/DirectoryTest.cpp
@@ -45,6 +45,7 @@
             order[i] = i;
         do {
             DirectoryState state;
+            mergeRecord(state, endpoint("e", 0, 0));
             mergeRecord(state, history[0]);
             std::size_t newest = 0;
             for (const auto i : order) {
@@ -57,6 +58,7 @@
     DirectoryState state;
     REQUIRE(mergeRecord(state, instance("a", 1, 1, InstanceStatus::Dead)) == MergeResult::Ignored);
     REQUIRE(mergeRecord(state, endpoint("e", 1, 1, true)) == MergeResult::Ignored);
+    REQUIRE(mergeRecord(state, DrainRecord { EndpointId("e"), 1 }) == MergeResult::Ignored);
     REQUIRE((state.instances_.empty() && state.endpoints_.empty()));
 }
 
