--- /dev/null
+++ b/standin/Main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
