--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -29,6 +29,7 @@
 
     State state_ { State::Outside };
     TimePoint started_;
+    bool startedUrgent_ { false }; ///< Its class was urgent when it started.
     boost::intrusive::list_member_hook<> queueHook_;
     boost::intrusive::set_member_hook<> deadlineHook_;
 };
@@ -42,7 +43,9 @@
 /// Limits of one queue.
 struct AdmissionSettings {
     std::size_t slots_ { 1 }; ///< Statements that may be in flight, from the endpoint's announcement.
-    std::size_t maximumLength_ { 1000 }; ///< Waiting items.
+    /// Waiting items. Half of them are for any class; the other half is divided among the classes by weight, so that
+    /// a flood of one class does not shut out the others.
+    std::size_t maximumLength_ { 1000 };
     /// Assumed service time of a class until the first statement has finished.
     Duration initialServiceTime_ { std::chrono::milliseconds(2) };
     std::map<ClassId, AdmissionClass> classes_; ///< Classes that are not listed have weight 1 and are not urgent.
@@ -75,7 +78,7 @@
     struct ClassLine {
         boost::intrusive::list_member_hook<> activeHook_;
         AdmissionClass settings_;
-        double deficit_ { 0 }; ///< Slot time in seconds that the class may still use in this round.
+        double deficit_ { 0 }; ///< Slot time in seconds that the class has earned and not used.
         double serviceTime_ { 0 }; ///< Learned mean service time in seconds.
         std::size_t waiting_ { 0 };
         AdmissionItems owningConnection_; ///< Statements of transactions; served before the others of the class.
