Add the connection pool of an endpoint

Cause: connections are scarce, only the holder of an endpoint may open them, and a connection with an unfinished transaction must never be reused. Ruled out: one backoff step per failed attempt (a burst of ten attempts that fail together reached the longest delay at once). Before: declarations only. Conclusion: leases carry a generation, so a late or repeated return has no effect on the next lease.

--- a/include/cassiahollow/connection/ConnectionPool.h
+++ b/include/cassiahollow/connection/ConnectionPool.h
@@ -71,6 +71,7 @@
     std::uint64_t lastGeneration_ { 0 };
     std::uint32_t connectFailures_ { 0 }; ///< Since the last success.
     TimePoint connectNotBefore_ {};
+    std::optional<TimePoint> lastConnectFailure_;
     std::mt19937_64 random_ { 1 }; ///< For jitter; seeded by the owner.
 };
 
--- /dev/null
+++ b/src/connection/ConnectionPool.cpp
@@ -0,0 +1,326 @@
+#include "cassiahollow/connection/ConnectionPool.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace cassiahollow {
+
+namespace {
+
+    using State = PooledConnection::State;
+
+    // Keeps the shift in range; the maximum delay is reached long before.
+    constexpr std::uint32_t maximumDoublings = 20;
+
+    std::size_t countIn(const ConnectionPool& pool, State state)
+    {
+        return static_cast<std::size_t>(std::count_if(pool.connections_.begin(), pool.connections_.end(),
+            [&](const auto& entry) { return entry.second.state_ == state; }));
+    }
+
+    PooledConnection* findLeased(ConnectionPool& pool, const ConnectionLease& lease)
+    {
+        const auto entry = pool.connections_.find(lease.connection_);
+        if (entry == pool.connections_.end() || entry->second.state_ != State::Leased
+            || entry->second.generation_ != lease.generation_)
+            return nullptr;
+        return &entry->second;
+    }
+
+    // Connections that have to be opened for the waiting requests and the warm ones, without regard to limits.
+    std::size_t missing(const ConnectionPool& pool)
+    {
+        const auto total = pool.connections_.size();
+        const auto available = total - countIn(pool, State::Leased);
+        const auto forWaiting = pool.wanted_ > available ? pool.wanted_ - available : 0;
+        const auto forWarm = pool.settings_.warmConnections_ > total ? pool.settings_.warmConnections_ - total : 0;
+        return std::max(forWaiting, forWarm);
+    }
+
+    void openMissing(ConnectionPool& pool, PoolActions& actions, TimePoint now)
+    {
+        const auto allowance = connectionAllowance(pool, now);
+        const auto total = pool.connections_.size();
+        auto count = std::min(missing(pool), allowance > total ? allowance - total : 0);
+        if (pool.connectFailures_ > 0) {
+            // One attempt at a time until one succeeds, so that a failing endpoint is not flooded with attempts.
+            const auto mayTry = now >= pool.connectNotBefore_ && countIn(pool, State::Opening) == 0;
+            count = std::min<std::size_t>(count, mayTry ? 1 : 0);
+        }
+        for (; count > 0; --count) {
+            const auto number = ++pool.lastNumber_;
+            pool.connections_[number].since_ = now;
+            actions.push_back({ PoolAction::Kind::Open, number, std::nullopt, {} });
+        }
+    }
+
+    using Connections = std::map<ConnectionNumber, PooledConnection>;
+
+    Connections::iterator close(
+        ConnectionPool& pool, Connections::iterator entry, PoolActions& actions, std::optional<Reason> reason)
+    {
+        actions.push_back({ PoolAction::Kind::Close, entry->first, reason, entry->second.owner_ });
+        return pool.connections_.erase(entry);
+    }
+
+    template <typename Predicate>
+    void closeIf(ConnectionPool& pool, PoolActions& actions, std::optional<Reason> reason, Predicate predicate)
+    {
+        for (auto entry = pool.connections_.begin(); entry != pool.connections_.end();) {
+            if (predicate(entry->second))
+                entry = close(pool, entry, actions, reason);
+            else
+                ++entry;
+        }
+    }
+
+    // Closes free connections, the ones unused for longest first, until the predicate says that none has to go.
+    template <typename Predicate> void closeFree(ConnectionPool& pool, PoolActions& actions, Predicate hasToGo)
+    {
+        for (;;) {
+            auto oldest = pool.connections_.end();
+            for (auto entry = pool.connections_.begin(); entry != pool.connections_.end(); ++entry) {
+                if (entry->second.state_ == State::Free
+                    && (oldest == pool.connections_.end() || entry->second.since_ < oldest->second.since_))
+                    oldest = entry;
+            }
+            if (oldest == pool.connections_.end() || !hasToGo(oldest->second))
+                return;
+            close(pool, oldest, actions, std::nullopt);
+        }
+    }
+
+    void recordConnectFailure(ConnectionPool& pool, TimePoint attemptedAt, TimePoint now)
+    {
+        // Attempts that were under way together are one failure; else a burst of them would reach the longest delay.
+        if (pool.lastConnectFailure_ && attemptedAt <= *pool.lastConnectFailure_)
+            return;
+        pool.lastConnectFailure_ = now;
+        const auto doublings = std::min(pool.connectFailures_, maximumDoublings);
+        ++pool.connectFailures_;
+        const auto delay
+            = std::min<Duration>(pool.settings_.initialBackoff_ * (1L << doublings), pool.settings_.maximumBackoff_);
+        // Half of the delay is random, so that the holders of many endpoints do not try in step.
+        std::uniform_int_distribution<Duration::rep> jitter(0, delay.count() / 2);
+        pool.connectNotBefore_ = now + delay / 2 + Duration(jitter(pool.random_));
+    }
+
+    bool isIdleTransaction(const ConnectionPool& pool, const PooledConnection& connection, TimePoint now)
+    {
+        return connection.state_ == State::Leased && connection.transaction_ && !connection.statementRunning_
+            && now - connection.lastStatement_ >= pool.settings_.transactionIdleLimit_;
+    }
+
+} // namespace
+
+std::size_t connectionAllowance(const ConnectionPool& pool, TimePoint now)
+{
+    if (!pool.holderSince_)
+        return 0;
+    const auto& settings = pool.settings_;
+    const auto isSettled = now - *pool.holderSince_ >= settings.settleTime_;
+    const auto share = isSettled ? settings.settledShare_ : settings.newHolderShare_;
+    // The tolerance keeps a product such as 80 * 0.10 from falling below its whole number.
+    const auto allowance = std::floor(static_cast<double>(settings.connectionLimit_) * share + 1e-9);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(allowance));
+}
+
+std::size_t freeConnections(const ConnectionPool& pool)
+{
+    return countIn(pool, State::Free);
+}
+
+PoolActions becomeHolder(ConnectionPool& pool, TimePoint now)
+{
+    if (!pool.holderSince_)
+        pool.holderSince_ = now;
+    return poolTimer(pool, now);
+}
+
+PoolActions ceaseHolder(ConnectionPool& pool, TimePoint)
+{
+    PoolActions actions;
+    pool.holderSince_.reset();
+    pool.wanted_ = 0;
+    closeIf(pool, actions, std::nullopt,
+        [](const PooledConnection& connection) { return connection.state_ != State::Leased; });
+    return actions;
+}
+
+PoolActions setWanted(ConnectionPool& pool, std::size_t wanted, TimePoint now)
+{
+    PoolActions actions;
+    pool.wanted_ = wanted;
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+std::optional<ConnectionLease> lease(ConnectionPool& pool, const LeaseOwner& owner, TimePoint now)
+{
+    PooledConnection* best = nullptr;
+    ConnectionNumber number = 0;
+    for (auto& [candidate, connection] : pool.connections_) {
+        if (connection.state_ == State::Free && (!best || connection.since_ >= best->since_)) {
+            best = &connection;
+            number = candidate;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    best->state_ = State::Leased;
+    best->since_ = now;
+    best->generation_ = ++pool.lastGeneration_;
+    best->owner_ = owner;
+    best->transaction_ = false;
+    best->statementRunning_ = false;
+    best->lastStatement_ = now;
+    return ConnectionLease { number, best->generation_ };
+}
+
+bool statementStarted(ConnectionPool& pool, const ConnectionLease& lease, bool transactionOpen, TimePoint)
+{
+    auto* connection = findLeased(pool, lease);
+    if (!connection)
+        return false;
+    connection->statementRunning_ = true;
+    connection->transaction_ = connection->transaction_ || transactionOpen;
+    return true;
+}
+
+void statementFinished(ConnectionPool& pool, const ConnectionLease& lease, bool transactionOpen, TimePoint now)
+{
+    auto* connection = findLeased(pool, lease);
+    if (!connection)
+        return;
+    connection->statementRunning_ = false;
+    connection->transaction_ = transactionOpen;
+    connection->lastStatement_ = now;
+}
+
+PoolActions giveBack(ConnectionPool& pool, const ConnectionLease& lease, TimePoint now)
+{
+    PoolActions actions;
+    auto* connection = findLeased(pool, lease);
+    if (!connection)
+        return actions;
+    if (connection->transaction_ || connection->statementRunning_
+        || pool.connections_.size() > connectionAllowance(pool, now)) {
+        close(pool, pool.connections_.find(lease.connection_), actions, std::nullopt);
+        openMissing(pool, actions, now);
+    } else {
+        connection->state_ = State::Free;
+        connection->since_ = now;
+        connection->owner_ = {};
+    }
+    return actions;
+}
+
+PoolActions closeOwner(ConnectionPool& pool, const LeaseOwner& owner, TimePoint now)
+{
+    PoolActions actions;
+    closeIf(pool, actions, Reason::TransactionAborted, [&](const PooledConnection& connection) {
+        return connection.state_ == State::Leased && connection.owner_ == owner;
+    });
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+PoolActions closeInstance(ConnectionPool& pool, const InstanceId& instance, TimePoint now)
+{
+    PoolActions actions;
+    closeIf(pool, actions, Reason::TransactionAborted, [&](const PooledConnection& connection) {
+        return connection.state_ == State::Leased && connection.owner_.instance_ == instance;
+    });
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+PoolActions connected(ConnectionPool& pool, ConnectionNumber number, TimePoint now)
+{
+    PoolActions actions;
+    const auto entry = pool.connections_.find(number);
+    if (entry == pool.connections_.end()) {
+        // Given up before it was open.
+        actions.push_back({ PoolAction::Kind::Close, number, std::nullopt, {} });
+        return actions;
+    }
+    if (entry->second.state_ != State::Opening)
+        return actions;
+    entry->second.state_ = State::Free;
+    entry->second.since_ = now;
+    pool.connectFailures_ = 0;
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+PoolActions connectFailed(ConnectionPool& pool, ConnectionNumber number, TimePoint now)
+{
+    PoolActions actions;
+    const auto entry = pool.connections_.find(number);
+    if (entry == pool.connections_.end() || entry->second.state_ != State::Opening)
+        return actions;
+    const auto attemptedAt = entry->second.since_;
+    pool.connections_.erase(entry);
+    recordConnectFailure(pool, attemptedAt, now);
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+PoolActions connectionLost(ConnectionPool& pool, ConnectionNumber number, TimePoint now)
+{
+    PoolActions actions;
+    const auto entry = pool.connections_.find(number);
+    if (entry == pool.connections_.end())
+        return actions;
+    if (entry->second.state_ == State::Opening)
+        return connectFailed(pool, number, now);
+    const auto reason = entry->second.state_ == State::Leased ? std::optional(Reason::AnswerLost) : std::nullopt;
+    close(pool, entry, actions, reason);
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+PoolActions poolTimer(ConnectionPool& pool, TimePoint now)
+{
+    PoolActions actions;
+    closeIf(pool, actions, std::nullopt, [&](const PooledConnection& connection) {
+        if (connection.state_ != State::Opening || now - connection.since_ < pool.settings_.connectTimeout_)
+            return false;
+        recordConnectFailure(pool, connection.since_, now);
+        return true;
+    });
+    closeIf(pool, actions, Reason::TransactionIdle,
+        [&](const PooledConnection& connection) { return isIdleTransaction(pool, connection, now); });
+    const auto allowance = connectionAllowance(pool, now);
+    closeFree(pool, actions, [&](const PooledConnection& connection) {
+        return pool.connections_.size() > allowance
+            || (pool.connections_.size() > pool.settings_.warmConnections_
+                && now - connection.since_ >= pool.settings_.idleCloseTime_);
+    });
+    openMissing(pool, actions, now);
+    return actions;
+}
+
+std::optional<TimePoint> nextPoolTimer(const ConnectionPool& pool, TimePoint now)
+{
+    std::optional<TimePoint> next;
+    const auto consider = [&](TimePoint at) { next = std::min(next.value_or(at), at); };
+    for (const auto& [number, connection] : pool.connections_) {
+        if (connection.state_ == State::Opening)
+            consider(connection.since_ + pool.settings_.connectTimeout_);
+        else if (connection.state_ == State::Free && pool.connections_.size() > pool.settings_.warmConnections_)
+            consider(connection.since_ + pool.settings_.idleCloseTime_);
+        else if (connection.state_ == State::Leased && connection.transaction_ && !connection.statementRunning_)
+            consider(connection.lastStatement_ + pool.settings_.transactionIdleLimit_);
+    }
+    if (pool.holderSince_ && missing(pool) > 0) {
+        if (pool.connectFailures_ > 0 && pool.connectNotBefore_ > now)
+            consider(pool.connectNotBefore_);
+        if (const auto settled = *pool.holderSince_ + pool.settings_.settleTime_; settled > now)
+            consider(settled);
+    }
+    return next;
+}
+
+} // namespace cassiahollow
