--- /dev/null
+++ b/daemon/connection/CallerApi.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "connection/HttpListener.h"
+#include "request/RequestRouter.h"
+
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+
+namespace cassiahollow {
+
+/// The HTTP and WebSocket interface for callers: decodes requests, hands them to the router and encodes answers.
+/// Documented in docs/callers.md.
+class CallerApi {
+public:
+    CallerApi(ServeContext&, RequestRouter&);
+    CallerApi(const CallerApi&) = delete;
+    CallerApi& operator=(const CallerApi&) = delete;
+
+    /// Opens the listener for callers.
+    boost::leaf::result<void> start();
+    /// Closes the listening socket and asks WebSocket callers to connect elsewhere.
+    void stopAccepting();
+    /// True while a request, or a transaction on a WebSocket, is open.
+    bool isBusy() const { return router_.openRequests() > 0 || openTransactions_ > 0; }
+
+private:
+    struct Stream {
+        std::uint64_t caller_ { 0 };
+        std::size_t openTransactions_ { 0 };
+    };
+
+    void receiveRequest(const HttpConnectionPtr&, HttpRequest);
+    void receiveMessage(const HttpConnectionPtr&, const std::string&);
+    void receiveStep(const HttpConnectionPtr&, Stream&, const nlohmann::json&);
+    void connectionClosed(const HttpConnectionPtr&);
+    void answerStream(const HttpConnectionPtr&, const nlohmann::json& id, const CallerAnswer&);
+    void transactionEnded(std::uint64_t caller);
+
+    ServeContext& context_;
+    RequestRouter& router_;
+    std::unique_ptr<HttpListener> listener_;
+    std::map<const HttpConnection*, Stream> streams_;
+    std::uint64_t lastCaller_ { 0 };
+    std::size_t openTransactions_ { 0 };
+    bool stopping_ { false };
+};
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/OperatorApi.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "cassiahollow/version/ControlState.h"
+#include "connection/HttpListener.h"
+#include "process/ServeContext.h"
+#include "version/GroupWatch.h"
+
+namespace cassiahollow {
+
+/// What the operator interface may ask the serve task for.
+struct OperatorHooks {
+    std::function<bool()> isReady_;
+    std::function<void(const EndpointId&)> drainEndpoint_;
+    std::function<void(bool)> drainInstance_;
+    /// Returns false if this instance does not watch the group.
+    std::function<bool(const GroupId&, const EndpointId& preferred)> changePrimary_;
+    std::function<const GroupWatch*(const GroupId&)> groupWatch_;
+    /// Sends a change to the control members; the handler is called once.
+    std::function<void(ControlChange, std::function<void(ChangeOutcome)>)> change_;
+};
+
+/// The listener for operators and for the platform's balancer. Documented in docs/operators.md.
+class OperatorApi {
+public:
+    OperatorApi(ServeContext&, OperatorHooks);
+
+    boost::leaf::result<void> start() { return listener_.start(); }
+
+private:
+    void receive(const HttpConnectionPtr&, const HttpRequest&);
+    void receiveCommand(const HttpConnectionPtr&, const HttpRequest&);
+    void changeSettings(const HttpConnectionPtr&, const HttpRequest&);
+    void drain(const HttpConnectionPtr&, const HttpRequest&);
+    void changePrimary(const HttpConnectionPtr&, const HttpRequest&);
+    void refuse(const HttpConnectionPtr&, int status, Reason, const std::string& detail);
+    std::string endpointsJson() const;
+    std::string groupsJson() const;
+    std::string instancesJson() const;
+
+    ServeContext& context_;
+    const OperatorHooks hooks_;
+    HttpListener listener_;
+};
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/ServeTask.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "cassiahollow/process/Mailbox.h"
+#include "connection/CallerApi.h"
+#include "connection/PlatformApi.h"
+#include "process/OperatorApi.h"
+#include "process/PeerTask.h"
+#include "request/RequestRouter.h"
+
+#include <set>
+#include <variant>
+
+namespace cassiahollow {
+
+/// SIGTERM or SIGINT arrived.
+struct ShutdownSignal { };
+
+/// What other threads send to the serve task.
+using ServeMessage = std::variant<PeerMessage, ShutdownSignal>;
+
+/// The main task of a process: owns the event loop, the listeners, the endpoints and groups that this instance holds,
+/// and the membership. Runs on the thread that calls run().
+class ServeTask {
+public:
+    ServeTask(const ProcessSettings&, SettingsTree startTree, Incarnation);
+    ~ServeTask();
+    ServeTask(const ServeTask&) = delete;
+    ServeTask& operator=(const ServeTask&) = delete;
+
+    /// Opens all listeners. Errors: an address is not free or not valid.
+    boost::leaf::result<void> start();
+    /// Runs until the shutdown is complete. Returns the exit status: 0 if no request was cut off.
+    int run();
+    /// Any thread.
+    void post(ServeMessage);
+
+private:
+    void takeMessages();
+    void receive(PeerMessage&);
+    void receiveForward(const PeerMessage&);
+    bool isStale(const PeerMessage&);
+
+    void feed(const MembershipEvent&);
+    void perform(const SendMembershipMessage&);
+    void perform(const InstanceChanged&);
+    void perform(const RecordChanged&);
+    void perform(const PullSettings&);
+    void perform(const HolderRoleChange&);
+    void perform(const MembershipMessageDropped&);
+    void membershipTimer();
+
+    void scheduleRefresh();
+    void refreshGroups();
+    void refreshGroup(const GroupId&);
+    std::vector<EndpointId> membersOfGroup(const GroupId&) const;
+    std::string addressOf(const EndpointId&) const;
+    void sendVote(const GroupVote&);
+    void applyTree(const SettingsTree&, bool publish);
+    void housekeep();
+
+    void beginShutdown();
+    void stopAccepting();
+    bool isDrained() const;
+
+    const ProcessSettings settings_;
+    const Incarnation incarnation_;
+    EventLoop loop_;
+    ChannelFactory channels_;
+    Metrics metrics_;
+    MembershipState membership_;
+    SettingsTree tree_;
+    ServeContext context_;
+    Mailbox<ServeMessage> inbox_;
+    PeerTask peers_;
+    std::map<EndpointId, std::unique_ptr<HeldEndpoint>> held_;
+    struct Watched {
+        std::unique_ptr<GroupWatch> watch_;
+        std::vector<EndpointId> members_;
+        std::vector<std::pair<InstanceId, bool>> watchers_;
+    };
+    std::map<GroupId, Watched> watched_;
+    HolderService holderService_;
+    RequestRouter router_;
+    CallerApi callers_;
+    PlatformApi platform_;
+    OperatorApi operators_;
+    std::map<InstanceId, Incarnation> newestIncarnations_;
+    std::map<EndpointId, std::string> lastAddresses_;
+    std::uint64_t lastGroupState_ { 0 };
+    std::optional<EventLoop::TimerId> membershipTimer_;
+    bool refreshScheduled_ { false };
+    bool shuttingDown_ { false };
+    bool ready_ { false };
+    int exitStatus_ { 0 };
+};
+
+} // namespace cassiahollow
--- a/include/cassiahollow/request/Forward.h
+++ b/include/cassiahollow/request/Forward.h
@@ -59,7 +59,15 @@
     bool wasSent_ { false }; ///< Bytes of the request went to the endpoint.
 };
 
-using ForwardMessage = std::variant<ForwardRequest, ForwardReply>;
+/// Asks for the settings tree that the receiver applies.
+struct TreeRequest { };
+
+/// The settings tree that the sender applies.
+struct TreeReply {
+    std::string tree_; ///< As settingsToJson writes it.
+};
+
+using ForwardMessage = std::variant<ForwardRequest, ForwardReply, TreeRequest, TreeReply>;
 
 std::string encodeForward(const ForwardMessage&);
 
--- a/src/request/Forward.cpp
+++ b/src/request/Forward.cpp
@@ -128,8 +128,12 @@
     wire::ForwardMessage wireMessage;
     if (const auto* request = std::get_if<ForwardRequest>(&message))
         write(*wireMessage.mutable_request(), *request);
+    else if (const auto* reply = std::get_if<ForwardReply>(&message))
+        write(*wireMessage.mutable_reply(), *reply);
+    else if (const auto* tree = std::get_if<TreeReply>(&message))
+        wireMessage.mutable_tree_reply()->set_tree(tree->tree_);
     else
-        write(*wireMessage.mutable_reply(), std::get<ForwardReply>(message));
+        wireMessage.mutable_tree_request();
     return wireMessage.SerializeAsString();
 }
 
@@ -141,6 +145,10 @@
             return ForwardMessage(read(*message.mutable_request()));
         if (message.has_reply() && isValid(message.reply()))
             return ForwardMessage(read(*message.mutable_reply()));
+        if (message.has_tree_request())
+            return ForwardMessage(TreeRequest {});
+        if (message.has_tree_reply())
+            return ForwardMessage(TreeReply { message.tree_reply().tree() });
     }
     return boost::leaf::new_error(Failure { Reason::MessageMalformed, "forward" });
 }
--- a/src/version/SettingsTree.cpp
+++ b/src/version/SettingsTree.cpp
@@ -277,6 +277,12 @@
         return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
+    std::optional<SettingValue> defaultOf(std::string_view name)
+    {
+        const SettingsTree empty;
+        return settingInForce(empty, "/", name);
+    }
+
     // A tree from an instance of another version may hold a value of another type; the default then serves instead.
     template <typename T> T inForce(const SettingsTree& tree, std::string_view path, std::string_view name)
     {
@@ -284,7 +290,7 @@
             if (const auto* typed = std::get_if<T>(&*value))
                 return *typed;
         }
-        const auto value = settingInForce(SettingsTree {}, "/", name);
+        const std::optional<SettingValue> value = defaultOf(name);
         const auto* typed = value ? std::get_if<T>(&*value) : nullptr;
         return typed ? *typed : T {};
     }
