Keep closed endpoint channels out of later socket callbacks

Cause: libwebsockets calls back once more when it destroys a socket, after the close callback; the user pointer then named a freed channel. Seen as heap corruption in the holder when its primary was killed. Ruled out: keeping the reference until the destroy callback, which is not made for every failed connect. After: the user pointer is cleared first.

--- a/daemon/connection/EndpointChannel.cpp
+++ b/daemon/connection/EndpointChannel.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr std::size_t maxAnswerBytes = 16 << 20; // An endpoint that sends without end must not fill the memory.
-    constexpr const char* protocolName = "cassiahollow-endpoint";
+    constexpr const char* protocolName = "endpoint";
 
 } // namespace
 
@@ -64,6 +64,8 @@
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLIENT_CLOSED:
     case LWS_CALLBACK_WSI_DESTROY:
+        // More callbacks may follow for this socket, after the channel is gone.
+        lws_set_wsi_user(wsi, nullptr);
         channel->ended();
         return 0;
     default:
