--- a/src/version/SettingsTree.cpp
+++ b/src/version/SettingsTree.cpp
@@ -277,10 +277,17 @@
         return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
+    // A tree from an instance of another version may hold a value of another type; the default then serves instead.
     template <typename T> T inForce(const SettingsTree& tree, std::string_view path, std::string_view name)
     {
-        const auto value = settingInForce(tree, path, name);
-        return value ? std::get<T>(*value) : T {};
+        if (const auto value = settingInForce(tree, path, name)) {
+            if (const auto* typed = std::get_if<T>(&*value))
+                return *typed;
+        }
+        const SettingsTree defaults;
+        const auto value = settingInForce(defaults, "/", name);
+        const auto* typed = value ? std::get_if<T>(&*value) : nullptr;
+        return typed ? *typed : T {};
     }
 
     leaf::result<void> importNode(SettingsTree& tree, const std::string& path, const YAML::Node& yaml)
--- a/tests/SettingsTreeTest.cpp
+++ b/tests/SettingsTreeTest.cpp
@@ -208,3 +208,12 @@
             REQUIRE(validateSettings(*tree));
     }
 }
+
+// Guards against an exception when a newer instance sends a tree with a setting whose type has changed.
+TEST_CASE("a value of another type gives the default")
+{
+    auto tree = startTree();
+    tree.nodes_["/services/verdicts/classes/hazard"]["deadline"] = std::string("soon");
+    CHECK_FALSE(validateSettings(tree));
+    CHECK(classSettings(tree, ServiceId("verdicts"), ClassId("hazard")).value().deadline_ == 2s);
+}
