--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -60,6 +60,8 @@
     EndpointConnectFailed,
     EndpointConnectionLimit,
     EndpointSilent,
+    StorageFailed,
+    StorageDamaged,
     Count
 };
 
--- a/src/process/Reasons.cpp
+++ b/src/process/Reasons.cpp
@@ -74,6 +74,10 @@
         { Reason::EndpointConnectionLimit, "endpoint_connection_limit", Outcome::NotRun,
             "look for other users of the endpoint's connections" },
         { Reason::EndpointSilent, "endpoint_silent", Outcome::Unknown, "check the endpoint and the network to it" },
+        { Reason::StorageFailed, "storage_failed", Outcome::Unknown,
+            "check space, permissions and health of the disk, and that no other process uses the data folder" },
+        { Reason::StorageDamaged, "storage_damaged", Outcome::NotRun,
+            "move the data folder away and start again; the member is admitted again under a new identity" },
     } };
 
     constexpr bool isInOrder()
