Separate competing promoters and count only established primaries

The random delay ran out before the 900 ms grace for other promoters did, so all watchers started together again; and a primary that was fenced before it could confirm anything still counted for the 5 s interval. A refused probe was also overlooked if a report sent before the crash arrived at the same time. Ruled out: a longer grace, which lengthens each failover after the death of a promoter.

--- a/include/cassiahollow/version/GroupTerm.h
+++ b/include/cassiahollow/version/GroupTerm.h
@@ -68,6 +68,9 @@
     Duration probe_ { std::chrono::milliseconds(300) }; ///< Longest silence of a probe; also the pause before the next.
     Duration resend_ { std::chrono::milliseconds(300) }; ///< Interval at which unanswered orders are sent again.
     Duration rankDelay_ { std::chrono::milliseconds(200) }; ///< Distance between watchers of adjacent rank.
+    /// The unit of the random delay after failed attempts; longer than fence and promote take, so that one of several
+    /// competing promoters gets through.
+    Duration backoff_ { std::chrono::milliseconds(50) };
     Duration promotionInterval_ { std::chrono::seconds(5) }; ///< Between the starts of successful promotions.
     /// How long another watcher's promotion may go without a primary before this one fences with a higher term.
     /// Three times the resend interval, so that two lost orders in a row don't lead to a competing promotion.
@@ -277,8 +280,9 @@
     std::optional<TimePoint> suspectedSince_; ///< Set while this watcher sees no working primary.
     std::optional<TimePoint> decidableSince_; ///< Set while nothing but the rank delays a promotion.
     std::optional<TimePoint> lastPromotion_; ///< Start of the group's last successful promotion, as far as known.
+    std::optional<TimePoint> learnedPromotion_; ///< Start of the promotion in `term_` until a majority follows it.
     std::optional<TimePoint> voteSent_;
-    std::optional<TimePoint> retryAt_; ///< No new attempt before this time, after a competing promoter.
+    Duration backoff_ {}; ///< Added to the rank delay after a failed attempt.
     std::uint32_t attempts_ { 0 }; ///< Failed attempts since the last primary.
     std::optional<Promotion> promotion_;
     std::optional<PromotionEnd> promotionEnd_;
--- a/src/version/GroupPromotion.cpp
+++ b/src/version/GroupPromotion.cpp
@@ -107,14 +107,14 @@
             return member.report_ && member.report_->promisedTerm_ == promotion.term_;
         });
         if (!promotion.chosen_ && newerPromise) {
-            abandonPromotion(state, now, "a member has promised a newer term", actions);
+            abandonPromotion(state, "a member has promised a newer term", actions);
         } else if (promotion.chosen_ && now - promotion.chosenAt_ >= timings.unfinished_) {
-            abandonPromotion(state, now, promotion.chosen_->value_ + " does not answer promote", actions);
+            abandonPromotion(state, promotion.chosen_->value_ + " does not answer promote", actions);
         } else if (promotion.fenced_.empty() && !reached
             && (promotion.suspicion_ ? viewPrimary(state, now) == PrimaryView::Works
                                      : now - promotion.started_ >= timings.unfinished_)) {
             // Nobody is known to be fenced, so nothing needs repair.
-            abandonPromotion(state, now, "the primary reports", actions);
+            abandonPromotion(state, "the primary reports", actions);
         } else if (!promotion.chosen_ && promotion.fenced_.size() >= majority(state)) {
             choose(state, now, actions);
         } else if (now - promotion.sent_ >= timings.resend_) {
@@ -153,14 +153,14 @@
         // Without a majority a promotion cannot succeed and would only leave members with promises that later have to
         // be outbid.
         const bool decidable = rank && (suspicion || repair) && !waitsForOther(state, now) && intervalOver(state, now)
-            && (!state.retryAt_ || *state.retryAt_ <= now) && hasMajority(state, now);
+            && hasMajority(state, now);
         if (!decidable) {
             state.decidableSince_.reset();
             return;
         }
         if (!state.decidableSince_)
             state.decidableSince_ = now;
-        if (now - *state.decidableSince_ < static_cast<int>(*rank) * state.timings_.rankDelay_)
+        if (now - *state.decidableSince_ < static_cast<int>(*rank) * state.timings_.rankDelay_ + state.backoff_)
             return;
         Promotion promotion;
         promotion.suspicion_ = suspicion;
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Whether a majority holds an entry of the primary's term, so that writes can be confirmed.
+    bool isEstablished(const GroupState& state)
+    {
+        return state.term_ > 0 && isConfirmed(state, { state.term_, 0 });
+    }
+
     void advanceEnd(GroupState& state, TimePoint now, Actions& actions)
     {
         const auto& end = *state.promotionEnd_;
@@ -271,7 +277,7 @@
             state.promotionEnd_.reset();
             return;
         }
-        if (!isConfirmed(state, { state.term_, 0 }))
+        if (!isEstablished(state))
             return;
         if (end.promotion_.hadPrimary_) {
             record(actions, FailoverPhase::Route, now - end.promoted_, end.promotion_.planned_);
@@ -288,7 +294,7 @@
         state.promotion_->fenced_[event.report_.endpoint_] = event.report_.position_;
 }
 
-void handleRefusal(GroupState& state, const OrderRefused& event, TimePoint now, Actions& actions)
+void handleRefusal(GroupState& state, const OrderRefused& event, Actions& actions)
 {
     const bool own = state.promotion_ && state.promotion_->term_ == event.term_;
     const bool current = own
@@ -299,7 +305,7 @@
     state.refusedTerm_ = std::max(state.refusedTerm_, event.promisedTerm_);
     if (current && event.promisedTerm_ >= event.term_)
         abandonPromotion(
-            state, now, event.endpoint_.value_ + " has promised term " + std::to_string(event.promisedTerm_), actions);
+            state, event.endpoint_.value_ + " has promised term " + std::to_string(event.promisedTerm_), actions);
 }
 
 void orderChange(GroupState& state, const ChangeOrdered& event, Actions& actions)
@@ -314,17 +320,16 @@
     state.change_ = PlannedChange { event.preferred_, {}, {} };
 }
 
-void abandonPromotion(GroupState& state, TimePoint now, const std::string& cause, Actions& actions)
+void abandonPromotion(GroupState& state, const std::string& cause, Actions& actions)
 {
     actions.push_back(LogChange {
         name(state) + "promotion in term " + std::to_string(state.promotion_->term_) + " is abandoned: " + cause });
     ++state.attempts_;
-    // Watchers that compete wait for different times, so that one of them gets through. The random part separates
-    // watchers that disagree about who is alive and so count the same rank.
-    const auto rank = static_cast<int>(rankOf(state).value_or(0));
-    std::uniform_int_distribution<int> spread(0, static_cast<int>(std::min(state.attempts_, 4U)) * 50);
-    state.retryAt_ = now + rank * state.timings_.rankDelay_
-        + (state.attempts_ > 1 ? std::chrono::milliseconds(spread(state.random_)) : std::chrono::milliseconds(0));
+    // Watchers that disagree about who is alive can have the same rank, and then start again and again at the same
+    // time. The random part is added to the rank delay, after all other conditions are met, because those conditions
+    // (such as the grace for other promoters) come true for all watchers at about the same time.
+    const auto longest = static_cast<int>(std::min(state.attempts_, 4U)) * state.timings_.backoff_;
+    state.backoff_ = Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(state.random_));
     if (state.promotion_->planned_)
         endChange(state, actions);
     state.promotion_.reset();
@@ -345,7 +350,7 @@
         member.followSent_.reset();
     }
     state.attempts_ = 0;
-    state.retryAt_.reset();
+    state.backoff_ = {};
     state.decidableSince_.reset();
     endChange(state, actions);
 }
@@ -358,6 +363,12 @@
         advanceDecision(state, now, actions);
     if (state.promotion_)
         advanceOrders(state, now, actions);
+    // A primary that another promoter fenced before it could confirm anything does not count: with the minimum interval
+    // the group would stay without a primary for 5 s.
+    if (state.learnedPromotion_ && isEstablished(state)) {
+        state.lastPromotion_ = state.learnedPromotion_;
+        state.learnedPromotion_.reset();
+    }
     if (state.promotionEnd_)
         advanceEnd(state, now, actions);
     advanceFollowers(state, now, actions);
--- a/src/version/GroupRules.h
+++ b/src/version/GroupRules.h
@@ -32,12 +32,12 @@
 void learnPrimary(GroupState&, const MemberReport&, TimePoint now, Actions&);
 
 void handleFenceAnswer(GroupState&, const OrderAnswered&);
-void handleRefusal(GroupState&, const OrderRefused&, TimePoint now, Actions&);
+void handleRefusal(GroupState&, const OrderRefused&, Actions&);
 void orderChange(GroupState&, const ChangeOrdered&, Actions&);
 /// Carries out everything that is due in planned changes, promotions and follow orders.
 void advancePromotion(GroupState&, TimePoint now, Actions&);
 /// Ends the running promotion without a new primary.
-void abandonPromotion(GroupState&, TimePoint now, const std::string& cause, Actions&);
+void abandonPromotion(GroupState&, const std::string& cause, Actions&);
 /// A primary in a new term ends whatever this watcher was doing about the old one.
 void finishPromotion(GroupState&, TimePoint now, Actions&);
 
--- a/src/version/GroupTerm.cpp
+++ b/src/version/GroupTerm.cpp
@@ -116,10 +116,12 @@
         // A state that has neither seen an earlier primary nor the lack of one cannot tell a new promotion from an old
         // one.
         const bool own = state.promotion_ && state.promotion_->term_ == report.promisedTerm_;
+        state.learnedPromotion_.reset();
         if (own)
-            state.lastPromotion_ = state.promotion_->started_;
+            state.learnedPromotion_ = state.promotion_->started_;
         else if (state.term_ > 0 || state.suspectedSince_)
-            state.lastPromotion_ = state.highestPromised_ == report.promisedTerm_ ? state.highestPromisedSince_ : now;
+            state.learnedPromotion_
+                = state.highestPromised_ == report.promisedTerm_ ? state.highestPromisedSince_ : now;
         state.term_ = report.promisedTerm_;
         state.primary_ = report.endpoint_;
         actions.push_back(PublishRoute { state.group_, state.term_, state.primary_ });
@@ -144,11 +146,7 @@
 
     void failProbe(GroupState& state, MemberState& member, TimePoint now)
     {
-        const bool heard = member.heard_ && *member.heard_ >= *member.probeOpened_;
         member.probeOpened_.reset();
-        // The old watch speaks again, so the probe was not needed.
-        if (heard)
-            return;
         member.probeDue_ = now + state.timings_.probe_;
         member.unreachable_ = true;
     }
@@ -250,9 +248,9 @@
         accept(state, event.report_, now, actions);
     }
 
-    void handle(GroupState& state, const OrderRefused& event, TimePoint now, Actions& actions)
+    void handle(GroupState& state, const OrderRefused& event, TimePoint, Actions& actions)
     {
-        handleRefusal(state, event, now, actions);
+        handleRefusal(state, event, actions);
     }
 
     void handle(GroupState& state, const VoteReceived& event, TimePoint now, Actions&)
@@ -273,8 +271,13 @@
     void advanceProbes(GroupState& state, TimePoint now, Actions& actions)
     {
         for (auto& member : state.members_) {
-            if (member.probeOpened_ && now - *member.probeOpened_ >= state.timings_.probe_)
-                failProbe(state, member, now);
+            if (member.probeOpened_ && now - *member.probeOpened_ >= state.timings_.probe_) {
+                // If the old watch has spoken since, the probe was not needed.
+                if (member.heard_ && *member.heard_ > *member.probeOpened_)
+                    member.probeOpened_.reset();
+                else
+                    failProbe(state, member, now);
+            }
             const bool silent = !member.heard_ || now - *member.heard_ >= state.timings_.suspicion_;
             if (!member.probeOpened_ && (member.probeDue_ ? *member.probeDue_ <= now : silent))
                 openProbe(state, member, now, actions);
@@ -401,9 +404,8 @@
     }
     consider(state.voteSent_, timings.probe_);
     consider(state.suspectedSince_, timings.withoutPrimary_);
-    consider(state.decidableSince_, rank * timings.rankDelay_);
+    consider(state.decidableSince_, rank * timings.rankDelay_ + state.backoff_);
     consider(state.lastPromotion_, timings.promotionInterval_);
-    consider(state.retryAt_);
     if (state.highestPromised_ > state.term_)
         consider(state.highestPromisedSince_, timings.unfinished_);
     if (state.promotion_) {
