Test the group rules with a fault matrix

Ruled out: a switch for wrong rules in the module; they are planted in the fakes. Before: no matrix.

--- /dev/null
+++ b/tests/support/GroupSimulation.h
@@ -0,0 +1,864 @@
+#pragma once
+
+#include "cassiahollow/version/GroupTerm.h"
+#include "support/GroupFaults.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+/// A group of three databases and its three watchers in one process, one of each in each of three data centres, with
+/// simulated time and faults. Shared by the fault matrix and the failover benchmark.
+namespace cassiahollow::fake {
+
+constexpr int groupSize = 3;
+
+/// Wrong rules that the matrix has to find.
+enum class WrongRule : std::uint8_t {
+    None,
+    AcknowledgeAtOnce, ///< Answer a write when the primary has run it; also baseline 1 of the benchmark.
+    CountPrimaryTwice,
+    PromoteFirst, ///< Promote the first member that answered `fence`, whatever it holds.
+    CompareWithoutTerms,
+    SeveralPromoters, ///< Endpoints take orders of any promoter for the term that they have promised.
+    LongInterval, ///< 30 s between promotions.
+};
+
+struct SimulationSettings {
+    Duration sameCentre_ { std::chrono::milliseconds(1) };
+    Duration otherCentre_ { std::chrono::microseconds(1500) };
+    Duration connect_ { std::chrono::milliseconds(10) };
+    Duration writeInterval_ { std::chrono::milliseconds(50) };
+    Duration lag_ { std::chrono::milliseconds(4) }; ///< Extra replication delay of the last endpoint.
+    Duration rankDelay_ { GroupTimings().rankDelay_ }; ///< Zero lets all watchers compete.
+    Duration lease_ {}; ///< Baseline 2: members hold `fence` back until the lease that they granted is over.
+    bool warm_ { true }; ///< Start in term 1 with endpoint 0 as primary, otherwise as a new group.
+    WrongRule wrongRule_ { WrongRule::None };
+    std::uint32_t seed_ { 1 };
+    bool recordSteps_ { false };
+};
+
+/// What is known about one log entry over the whole run.
+struct EntryHistory {
+    unsigned heldBy_ { 0 }; ///< Bits of the endpoints that held it before they promised a newer term.
+    bool afterNewerTerm_ { false }; ///< Appended when a majority had promised a newer term.
+    bool acknowledged_ { false };
+};
+
+struct StepInfo {
+    MessageKind kind_;
+    TimePoint at_;
+};
+
+struct Connection {
+    int watcher_ { 0 };
+    int endpoint_ { 0 };
+    bool accepted_ { false };
+    bool closed_ { false };
+    bool silent_ { false };
+};
+
+struct FakeEndpoint {
+    // Durable.
+    std::vector<Term> log_; ///< The term of each entry; index 1 is at 0.
+    Term promised_ { 0 };
+    std::string promoter_;
+    // Lost in a crash.
+    MemberRole role_ { MemberRole::Replica };
+    int following_ { -1 };
+    std::array<bool, groupSize> pulling_ {}; ///< Replicas whose pull waits for entries.
+    std::array<std::vector<Term>, groupSize> pullLogs_;
+    TimePoint pulled_ {};
+    TimePoint leaseUntil_ {};
+
+    LogPosition last() const { return { log_.empty() ? 0 : log_.back(), log_.size() }; }
+};
+
+struct PendingWrite {
+    LogPosition position_;
+    TimePoint started_;
+};
+
+struct FakeWatcher {
+    GroupState state_;
+    std::array<int, groupSize> watch_ {}; ///< Connection numbers; 0 is none.
+    std::array<int, groupSize> probe_ {};
+    std::array<std::uint64_t, groupSize> probeNumber_ {};
+    std::array<int, groupSize> order_ {};
+    std::array<bool, groupSize> orderWaits_ {};
+    std::array<bool, groupSize> alive_ { true, true, true };
+    std::array<TimePoint, groupSize> seen_ {};
+    std::vector<PendingWrite> pending_;
+    bool paused_ { false };
+};
+
+struct Node {
+    bool up_ { true };
+    bool refuses_ { true }; ///< Down with its address still reachable: connections are refused, not silent.
+    unsigned life_ { 1 };
+    TimePoint frozenUntil_ {};
+    TimePoint cutOut_ {}; ///< Messages to other data centres are lost until then.
+    TimePoint cutIn_ {};
+};
+
+/// Nodes 0 to 2 are the endpoints, nodes 3 to 5 the watchers; node n is in data centre n % 3.
+class Simulation {
+public:
+    explicit Simulation(const SimulationSettings& settings, std::vector<Fault> faults = {})
+        : settings_(settings)
+        , faults_(std::move(faults))
+        , random_(settings.seed_)
+    {
+        connections_.emplace_back();
+        for (int e = 0; e < groupSize; ++e) {
+            if (settings_.warm_) {
+                endpoints_[e].log_ = { 1 };
+                endpoints_[e].promised_ = 1;
+                endpoints_[e].promoter_ = "start";
+                history_[{ 1, 1 }].heldBy_ |= 1U << e;
+            }
+            ids_.emplace_back("e" + std::to_string(e));
+        }
+        if (settings_.warm_) {
+            endpoints_[0].role_ = MemberRole::Primary;
+            primaries_[1] = 0;
+        }
+        for (int e = 0; e < groupSize; ++e)
+            startEndpoint(e);
+        if (settings_.warm_) {
+            follow(1, 0);
+            follow(2, 0);
+        }
+        for (int w = 0; w < groupSize; ++w)
+            startWatcher(w);
+    }
+
+    TimePoint now() const { return now_; }
+    std::uint64_t steps() const { return steps_; }
+    const std::vector<StepInfo>& stepInfo() const { return stepInfo_; }
+    TimePoint healed() const { return healed_; }
+    bool allInjected() const
+    {
+        return std::all_of(faults_.begin(), faults_.end(),
+            [&](const Fault& fault) { return fault.injected_ || (fault.step_ && fault.step_ < steps_); });
+    }
+    std::size_t injected() const { return injected_; }
+    const GroupState& watcher(int w) const { return watchers_[w].state_; }
+    const std::map<LogPosition, EntryHistory>& history() const { return history_; }
+    const std::vector<RecordPhase>& phases() const { return phases_; }
+    std::optional<TimePoint> firstAckStartedAfter(TimePoint time) const
+    {
+        return lastAckStart_ >= time ? std::optional(lastAck_) : std::nullopt;
+    }
+    TimePoint lastAck() const { return lastAck_; }
+
+    void runUntil(TimePoint end, const std::function<bool()>& done = {})
+    {
+        while (!events_.empty() && events_.top().at_ <= end) {
+            auto event = std::move(const_cast<Event&>(events_.top()));
+            events_.pop();
+            now_ = event.at_;
+            if (event.node_ >= 0) {
+                const auto& node = nodes_[event.node_];
+                if (event.life_ != 0 && event.life_ != node.life_)
+                    continue;
+                if (node.frozenUntil_ > now_) {
+                    push(node.frozenUntil_, event.node_, event.life_, std::move(event.run_));
+                    continue;
+                }
+            }
+            event.run_();
+            if (done && done())
+                return;
+        }
+        now_ = std::max(now_, end);
+    }
+
+    /// The holder of the primary orders a planned change to endpoint `e`.
+    void orderChange(int e)
+    {
+        for (int w = 0; w < groupSize; ++w) {
+            const auto primary = primaryOf(watchers_[w].state_);
+            if (isUp(w + groupSize) && primary && holderOf(w, numberOf(*primary)) == w)
+                feed(w, ChangeOrdered { ids_[e] });
+        }
+    }
+
+    int currentPrimary() const { return primaries_.empty() ? -1 : primaries_.rbegin()->second; }
+
+    void crash(int node, Duration duration, bool refuses)
+    {
+        if (!isUp(node))
+            return;
+        nodes_[node].up_ = false;
+        nodes_[node].refuses_ = refuses;
+        ++nodes_[node].life_;
+        for (std::size_t number = 1; number < connections_.size(); ++number) {
+            auto& connection = connections_[number];
+            if (connection.closed_
+                || (node < groupSize ? connection.endpoint_ : connection.watcher_ + groupSize) != node)
+                continue;
+            if (node < groupSize && refuses)
+                send(MessageKind::Close, node, connection.watcher_ + groupSize, 0,
+                    [this, number] { closedByPeer(static_cast<int>(number)); });
+            else if (node >= groupSize)
+                connection.closed_ = true;
+            else
+                connection.silent_ = true;
+        }
+        push(now_ + duration, -1, 0, [this, node] { restart(node); });
+        heal(now_ + duration);
+    }
+
+    /// The violated guarantees, empty for a correct run. The caller has run the simulation to its end.
+    std::vector<Violation> violations() const
+    {
+        auto found = violations_;
+        if (primaries_.empty())
+            return found;
+        const auto& log = endpoints_[primaries_.rbegin()->second].log_;
+        for (const auto& [position, entry] : history_) {
+            if (!entry.acknowledged_)
+                continue;
+            if (position.index_ > log.size() || log[position.index_ - 1] != position.term_)
+                found.push_back(Violation::AcknowledgedWriteLost);
+            if (entry.afterNewerTerm_ || std::popcount(entry.heldBy_) < 2)
+                found.push_back(Violation::OldPrimaryAcknowledged);
+        }
+        return found;
+    }
+
+    std::size_t lostWrites() const
+    {
+        const auto found = violations();
+        return static_cast<std::size_t>(std::count(found.begin(), found.end(), Violation::AcknowledgedWriteLost));
+    }
+
+    std::size_t acknowledgedWrites() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            history_.begin(), history_.end(), [](const auto& entry) { return entry.second.acknowledged_; }));
+    }
+
+private:
+    struct Event {
+        TimePoint at_;
+        std::uint64_t number_;
+        int node_;
+        unsigned life_;
+        std::function<void()> run_;
+
+        bool operator<(const Event& other) const
+        {
+            return at_ != other.at_ ? at_ > other.at_ : number_ > other.number_;
+        }
+    };
+
+    bool isUp(int node) const { return nodes_[node].up_; }
+
+    bool isCut(int from, int to) const
+    {
+        return from % groupSize != to % groupSize && (nodes_[from].cutOut_ > now_ || nodes_[to].cutIn_ > now_);
+    }
+
+    int numberOf(const EndpointId& id) const
+    {
+        return static_cast<int>(std::find(ids_.begin(), ids_.end(), id) - ids_.begin());
+    }
+
+    void heal(TimePoint time) { healed_ = std::max(healed_, time); }
+
+    void push(TimePoint at, int node, unsigned life, std::function<void()> run)
+    {
+        events_.push({ at, ++eventNumber_, node, life, std::move(run) });
+    }
+
+    /// Runs as long as the node does not crash.
+    void timer(int node, Duration delay, std::function<void()> run)
+    {
+        push(now_ + delay, node, nodes_[node].life_, std::move(run));
+    }
+
+    void restart(int node)
+    {
+        nodes_[node].up_ = true;
+        if (node < groupSize)
+            startEndpoint(node);
+        else
+            startWatcher(node - groupSize);
+    }
+
+    /// Sends a message. Each message is one step, at which a fault can occur.
+    void send(MessageKind kind, int from, int to, int connection, std::function<void()> deliver, Duration extra = {})
+    {
+        ++steps_;
+        if (settings_.recordSteps_)
+            stepInfo_.push_back({ kind, now_ });
+        bool lost = isCut(from, to) || (connection && connections_[connection].silent_);
+        std::optional<Duration> repeat;
+        for (auto& fault : faults_) {
+            const bool first = fault.step_ ? fault.step_ == steps_ : isDue(fault);
+            const bool again = fault.rearmed_ && fault.kindSeen_ == kind && fault.from_ == from && fault.to_ == to;
+            if (!first && !again)
+                continue;
+            fault.rearmed_ = first && fault.twice_;
+            fault.kindSeen_ = kind;
+            fault.from_ = from;
+            fault.to_ = to;
+            fault.injected_ = true;
+            ++injected_;
+            inject(fault, from, to, connection, lost, extra, repeat);
+            lost |= isCut(from, to);
+        }
+        if (lost)
+            return;
+        const auto delay = from % groupSize == to % groupSize ? settings_.sameCentre_ : settings_.otherCentre_;
+        auto arrive = [this, from, to, connection, deliver = std::move(deliver)] {
+            if (!isUp(to) || isCut(from, to) || (connection && connections_[connection].silent_))
+                return;
+            deliver();
+        };
+        if (repeat)
+            push(now_ + delay + *repeat, to, 0, arrive);
+        push(now_ + delay + extra, to, 0, std::move(arrive));
+    }
+
+    /// Whether a fault without a step of its own is to occur now.
+    bool isDue(const Fault& fault) const
+    {
+        return !fault.injected_ && faults_.front().injected_ && now_ >= healed_ + fault.afterHeal_;
+    }
+
+    void inject(const Fault& fault, int from, int to, int connection, bool& lost, Duration& extra,
+        std::optional<Duration>& repeat)
+    {
+        const int node = fault.atReceiver_ ? to : from;
+        const auto end = now_ + fault.duration_;
+        const auto eachOfCentre = [&](const auto& change) {
+            change(nodes_[node % groupSize]);
+            change(nodes_[node % groupSize + groupSize]);
+            heal(end);
+        };
+        switch (fault.kind_) {
+        case FaultKind::Crash:
+            crash(node, fault.duration_, true);
+            lost |= node == from;
+            break;
+        case FaultKind::PowerLoss:
+            crash(node, fault.duration_, false);
+            lost |= node == from;
+            break;
+        case FaultKind::Restart:
+            crash(node, std::chrono::milliseconds(20), true);
+            lost |= node == from;
+            break;
+        case FaultKind::Lost:
+            lost = true;
+            heal(now_);
+            break;
+        case FaultKind::Repeated:
+            repeat = fault.duration_;
+            heal(end);
+            break;
+        case FaultKind::Delayed:
+            extra += fault.duration_;
+            heal(end);
+            break;
+        case FaultKind::Reordered:
+            extra += std::chrono::milliseconds(5);
+            heal(now_);
+            break;
+        case FaultKind::SilentConnection:
+            if (connection)
+                connections_[connection].silent_ = true;
+            lost = true;
+            heal(now_);
+            break;
+        case FaultKind::CutOut:
+            eachOfCentre([&](Node& cut) { cut.cutOut_ = std::max(cut.cutOut_, end); });
+            break;
+        case FaultKind::CutIn:
+            eachOfCentre([&](Node& cut) { cut.cutIn_ = std::max(cut.cutIn_, end); });
+            break;
+        case FaultKind::CutBoth:
+            eachOfCentre([&](Node& cut) {
+                cut.cutOut_ = std::max(cut.cutOut_, end);
+                cut.cutIn_ = std::max(cut.cutIn_, end);
+            });
+            break;
+        case FaultKind::Freeze:
+            nodes_[node].frozenUntil_ = std::max(nodes_[node].frozenUntil_, end);
+            lost |= node == from && connection == 0;
+            heal(end);
+            break;
+        case FaultKind::Count:
+            break;
+        }
+    }
+
+    // Endpoints.
+
+    void startEndpoint(int e)
+    {
+        auto& endpoint = endpoints_[e];
+        if (nodes_[e].life_ > 1) {
+            endpoint.role_ = MemberRole::Replica;
+            endpoint.following_ = -1;
+            endpoint.pulling_ = {};
+        }
+        heartbeat(e);
+    }
+
+    void heartbeat(int e)
+    {
+        report(e, MessageKind::Heartbeat);
+        auto& endpoint = endpoints_[e];
+        for (int replica = 0; replica < groupSize; ++replica) {
+            if (endpoint.pulling_[replica])
+                answerPull(e, replica);
+        }
+        if (endpoint.following_ >= 0 && now_ - endpoint.pulled_ >= std::chrono::milliseconds(250))
+            pull(e);
+        timer(e, std::chrono::milliseconds(100), [this, e] { heartbeat(e); });
+    }
+
+    MemberReport reportOf(int e) const
+    {
+        const auto& endpoint = endpoints_[e];
+        return { ids_[e], endpoint.role_, endpoint.promised_, endpoint.last(), false };
+    }
+
+    void report(int e, MessageKind kind)
+    {
+        for (std::size_t number = 1; number < connections_.size(); ++number) {
+            const auto& connection = connections_[number];
+            if (connection.endpoint_ == e && connection.accepted_ && !connection.closed_)
+                reportOn(e, static_cast<int>(number), kind);
+        }
+    }
+
+    void reportOn(int e, int number, MessageKind kind)
+    {
+        const int w = connections_[number].watcher_;
+        send(kind, e, w + groupSize, number, [this, w, e, number, report = reportOf(e)] {
+            auto& watcher = watchers_[w];
+            if (connections_[number].closed_)
+                return;
+            if (watcher.watch_[e] == number)
+                feed(w, MemberReported { report });
+            else if (watcher.probe_[e] == number)
+                feed(w, ProbeAnswered { watcher.probeNumber_[e], report });
+        });
+    }
+
+    bool majorityPromisedAbove(Term term) const
+    {
+        return std::count_if(endpoints_.begin(), endpoints_.end(), [&](const FakeEndpoint& endpoint) {
+            return endpoint.promised_ > term;
+        }) >= 2;
+    }
+
+    void append(int e, Term term)
+    {
+        auto& endpoint = endpoints_[e];
+        endpoint.log_.push_back(term);
+        auto& entry = history_[endpoint.last()];
+        if (endpoint.promised_ == term)
+            entry.heldBy_ |= 1U << e;
+        if (endpoint.role_ == MemberRole::Primary)
+            entry.afterNewerTerm_ = majorityPromisedAbove(term);
+    }
+
+    void promise(int e, Term term, const std::string& promoter)
+    {
+        auto& endpoint = endpoints_[e];
+        endpoint.promised_ = term;
+        endpoint.promoter_ = promoter;
+        endpoint.role_ = MemberRole::Replica;
+        endpoint.following_ = -1;
+        endpoint.pulling_ = {};
+    }
+
+    /// Carries an order out, or returns false if the promised term forbids it.
+    bool obey(int e, const SendOrder& order)
+    {
+        auto& endpoint = endpoints_[e];
+        const bool same = order.term_ == endpoint.promised_
+            && (order.promoter_ == endpoint.promoter_ || settings_.wrongRule_ == WrongRule::SeveralPromoters);
+        switch (order.kind_) {
+        case OrderKind::Fence:
+            if (order.term_ > endpoint.promised_)
+                promise(e, order.term_, order.promoter_);
+            else if (!same)
+                return false;
+            break;
+        case OrderKind::Promote:
+            if (!same)
+                return false;
+            if (endpoint.role_ == MemberRole::Primary)
+                break;
+            endpoint.role_ = MemberRole::Primary;
+            endpoint.following_ = -1;
+            if (!primaries_.try_emplace(order.term_, e).second && primaries_[order.term_] != e)
+                violations_.push_back(Violation::TwoPrimaries);
+            append(e, order.term_);
+            break;
+        case OrderKind::Follow:
+            // Any watcher may say who the primary of a term is; there is only one.
+            if (order.term_ < endpoint.promised_
+                || (order.term_ == endpoint.promised_ && endpoint.role_ == MemberRole::Primary))
+                return false;
+            if (order.term_ > endpoint.promised_)
+                promise(e, order.term_, order.promoter_);
+            follow(e, numberOf(order.primary_));
+            break;
+        }
+        report(e, MessageKind::Report);
+        return true;
+    }
+
+    void follow(int e, int primary)
+    {
+        endpoints_[e].following_ = primary;
+        pull(e);
+    }
+
+    void pull(int e)
+    {
+        auto& endpoint = endpoints_[e];
+        endpoint.pulled_ = now_;
+        const int primary = endpoint.following_;
+        send(MessageKind::Pull, e, primary, 0, [this, e, primary, term = endpoint.promised_, log = endpoint.log_] {
+            auto& source = endpoints_[primary];
+            if (source.role_ != MemberRole::Primary || source.promised_ != term)
+                return;
+            source.pulling_[e] = true;
+            source.pullLogs_[e] = log;
+            if (source.log_ != log)
+                answerPull(primary, e);
+        });
+    }
+
+    void answerPull(int e, int replica)
+    {
+        auto& endpoint = endpoints_[e];
+        endpoint.pulling_[replica] = false;
+        const auto& theirs = endpoint.pullLogs_[replica];
+        const auto common = std::mismatch(theirs.begin(), theirs.end(), endpoint.log_.begin(), endpoint.log_.end());
+        const auto from = static_cast<std::size_t>(common.second - endpoint.log_.begin());
+        std::vector<Term> entries(common.second, endpoint.log_.end());
+        const auto previous = from ? endpoint.log_[from - 1] : 0;
+        send(
+            MessageKind::PullAnswer, e, replica, 0,
+            [this, e, replica, from, previous, term = endpoint.promised_, entries = std::move(entries)] {
+                auto& target = endpoints_[replica];
+                if (target.promised_ != term || target.following_ != e || target.log_.size() < from
+                    || (from && target.log_[from - 1] != previous))
+                    return;
+                target.leaseUntil_ = now_ + settings_.lease_;
+                bool changed = false;
+                for (std::size_t i = 0; i < entries.size(); ++i) {
+                    if (target.log_.size() > from + i && target.log_[from + i] != entries[i])
+                        target.log_.resize(from + i);
+                    if (target.log_.size() == from + i) {
+                        append(replica, entries[i]);
+                        changed = true;
+                    }
+                }
+                if (changed)
+                    report(replica, MessageKind::Report);
+                pull(replica);
+            },
+            replica == groupSize - 1 ? settings_.lag_ : Duration());
+    }
+
+    void write(int e, int w, Term term, TimePoint started)
+    {
+        auto& endpoint = endpoints_[e];
+        if (endpoint.role_ != MemberRole::Primary || endpoint.promised_ != term)
+            return;
+        append(e, term);
+        const auto position = endpoint.last();
+        send(MessageKind::RunAnswer, e, w + groupSize, 0, [this, w, position, started] {
+            watchers_[w].pending_.push_back({ position, started });
+            acknowledge(w);
+        });
+        report(e, MessageKind::Report);
+        for (int replica = 0; replica < groupSize; ++replica) {
+            if (endpoint.pulling_[replica])
+                answerPull(e, replica);
+        }
+    }
+
+    // Watchers.
+
+    void startWatcher(int w)
+    {
+        auto& watcher = watchers_[w];
+        watcher = {};
+        GroupTimings timings;
+        timings.rankDelay_ = settings_.rankDelay_;
+        if (settings_.wrongRule_ == WrongRule::LongInterval)
+            timings.promotionInterval_ = std::chrono::seconds(30);
+        watcher.state_ = makeGroupState(GroupId("g"), InstanceId("w" + std::to_string(w)),
+            "w" + std::to_string(w) + "/" + std::to_string(nodes_[w + groupSize].life_), timings);
+        watcher.seen_.fill(now_);
+        configure(w);
+        membership(w);
+        const auto offset = std::uniform_int_distribution<int>(0, 9)(random_);
+        timer(w + groupSize, std::chrono::milliseconds(offset), [this, w] { writeLoop(w); });
+    }
+
+    void configure(int w)
+    {
+        GroupConfigured event;
+        for (int i = 0; i < groupSize; ++i) {
+            const DataCentre centre("dc" + std::to_string(i));
+            event.members_.push_back({ ids_[i], centre });
+            event.watchers_.push_back({ InstanceId("w" + std::to_string(i)), centre, watchers_[w].alive_[i] });
+        }
+        feed(w, event);
+    }
+
+    /// Declares a watcher dead 3 s after the last contact, as membership does.
+    void membership(int w)
+    {
+        auto& watcher = watchers_[w];
+        bool changed = false;
+        for (int other = 0; other < groupSize; ++other) {
+            const int from = other + groupSize;
+            const int to = w + groupSize;
+            if (isUp(from) && nodes_[from].frozenUntil_ <= now_ && !isCut(from, to) && !isCut(to, from))
+                watcher.seen_[other] = now_;
+            const bool alive = now_ - watcher.seen_[other] < std::chrono::seconds(3);
+            changed |= alive != watcher.alive_[other];
+            watcher.alive_[other] = alive;
+        }
+        if (changed)
+            configure(w);
+        timer(w + groupSize, std::chrono::milliseconds(500), [this, w] { membership(w); });
+    }
+
+    /// The holder of endpoint `e` as watcher `w` sees it.
+    int holderOf(int w, int e) const
+    {
+        for (int i = 0; i < groupSize; ++i) {
+            if (watchers_[w].alive_[(e + i) % groupSize])
+                return (e + i) % groupSize;
+        }
+        return w;
+    }
+
+    void writeLoop(int w)
+    {
+        auto& watcher = watchers_[w];
+        const auto primary = primaryOf(watcher.state_);
+        if (primary && !watcher.paused_ && hasMajority(watcher.state_, now_)) {
+            const int e = numberOf(*primary);
+            if (holderOf(w, e) == w)
+                send(MessageKind::Run, w + groupSize, e, 0,
+                    [this, e, w, term = termOf(watcher.state_), started = now_] { write(e, w, term, started); });
+        }
+        std::erase_if(watcher.pending_,
+            [&](const PendingWrite& write) { return now_ - write.started_ > std::chrono::seconds(2); });
+        timer(w + groupSize, settings_.writeInterval_, [this, w] { writeLoop(w); });
+    }
+
+    bool confirmed(const GroupState& state, const LogPosition& position) const
+    {
+        if (settings_.wrongRule_ == WrongRule::AcknowledgeAtOnce)
+            return true;
+        if (settings_.wrongRule_ != WrongRule::CountPrimaryTwice)
+            return isConfirmed(state, position);
+        int holders = 0;
+        for (const auto& member : state.members_) {
+            if (member.confirmed_.term_ == position.term_ && member.confirmed_.index_ >= position.index_)
+                holders += member.endpoint_ == state.primary_ ? 2 : 1;
+        }
+        return holders >= 2;
+    }
+
+    void acknowledge(int w)
+    {
+        auto& watcher = watchers_[w];
+        std::erase_if(watcher.pending_, [&](const PendingWrite& write) {
+            if (!confirmed(watcher.state_, write.position_))
+                return false;
+            history_[write.position_].acknowledged_ = true;
+            if (write.started_ >= lastAckStart_) {
+                lastAckStart_ = write.started_;
+                lastAck_ = now_;
+            }
+            return true;
+        });
+    }
+
+    void feed(int w, const GroupEvent& event)
+    {
+        auto& watcher = watchers_[w];
+        for (const auto& action : step(watcher.state_, event, now_))
+            std::visit([&](const auto& value) { act(w, value); }, action);
+        acknowledge(w);
+        if (const auto next = nextWakeup(watcher.state_))
+            push(*next, w + groupSize, nodes_[w + groupSize].life_, [this, w, at = *next] {
+                if (watchers_[w].state_.stepped_ < at)
+                    feed(w, GroupTick {});
+            });
+    }
+
+    int connect(int w, int e)
+    {
+        connections_.push_back({ w, e });
+        return static_cast<int>(connections_.size()) - 1;
+    }
+
+    void closedByPeer(int number)
+    {
+        auto& connection = connections_[number];
+        const int w = connection.watcher_;
+        const int e = connection.endpoint_;
+        if (connection.closed_)
+            return;
+        connection.closed_ = true;
+        auto& watcher = watchers_[w];
+        if (watcher.order_[e] == number)
+            watcher.order_[e] = 0;
+        if (watcher.watch_[e] == number)
+            feed(w, WatchLost { ids_[e] });
+        else if (watcher.probe_[e] == number)
+            feed(w, ProbeFailed { watcher.probeNumber_[e], ids_[e] });
+    }
+
+    /// Opens a connection; `accepted` runs at the endpoint. A process that is down refuses, a machine does not answer.
+    void open(int w, int e, int number, std::function<void()> accepted)
+    {
+        if (!isUp(e) && nodes_[e].refuses_ && !isCut(w + groupSize, e) && !isCut(e, w + groupSize)) {
+            push(now_ + settings_.sameCentre_ + settings_.otherCentre_, w + groupSize, nodes_[w + groupSize].life_,
+                [this, number] { closedByPeer(number); });
+            return;
+        }
+        send(
+            MessageKind::Connect, w + groupSize, e, number,
+            [this, number, accepted = std::move(accepted)] {
+                connections_[number].accepted_ = !connections_[number].closed_;
+                accepted();
+            },
+            settings_.connect_);
+    }
+
+    void act(int w, const OpenProbe& action)
+    {
+        auto& watcher = watchers_[w];
+        const int e = numberOf(action.endpoint_);
+        connections_[watcher.probe_[e]].closed_ = true;
+        watcher.probe_[e] = connect(w, e);
+        watcher.probeNumber_[e] = action.probe_;
+        const int number = watcher.probe_[e];
+        open(w, e, number, [this, e, number] { reportOn(e, number, MessageKind::Report); });
+    }
+
+    void act(int w, const ReplaceWatch& action)
+    {
+        auto& watcher = watchers_[w];
+        const int e = numberOf(action.endpoint_);
+        connections_[watcher.watch_[e]].closed_ = true;
+        watcher.watch_[e] = watcher.probe_[e];
+        watcher.probe_[e] = 0;
+    }
+
+    void act(int, const CloseWatch&) { }
+
+    void act(int w, const SendVote& action)
+    {
+        for (int other = 0; other < groupSize; ++other) {
+            if (other != w)
+                send(MessageKind::Vote, w + groupSize, other + groupSize, 0,
+                    [this, other, vote = action.vote_] { feed(other, VoteReceived { vote }); });
+        }
+    }
+
+    /// An order goes out on the open order connection, or on a new one if the last order has not been answered.
+    void act(int w, const SendOrder& action)
+    {
+        auto& watcher = watchers_[w];
+        const int e = numberOf(action.endpoint_);
+        if (watcher.order_[e] && !watcher.orderWaits_[e]) {
+            watcher.orderWaits_[e] = true;
+            send(MessageKind::Order, w + groupSize, e, watcher.order_[e],
+                [this, e, number = watcher.order_[e], action] { carryOut(e, number, action); });
+            return;
+        }
+        connections_[watcher.order_[e]].closed_ = true;
+        const int number = connect(w, e);
+        watcher.order_[e] = number;
+        watcher.orderWaits_[e] = true;
+        open(w, e, number, [this, e, number, action] {
+            connections_[number].accepted_ = false; // No watch runs on it.
+            carryOut(e, number, action);
+        });
+    }
+
+    void carryOut(int e, int number, const SendOrder& order)
+    {
+        if (order.kind_ == OrderKind::Fence && endpoints_[e].leaseUntil_ > now_
+            && order.term_ > endpoints_[e].promised_) {
+            timer(e, endpoints_[e].leaseUntil_ - now_, [this, e, number, order] { carryOut(e, number, order); });
+            return;
+        }
+        const bool accepted = obey(e, order);
+        auto answer = reportOf(e);
+        // The wrong rules of the choice are planted here, so that the module needs no switch for them.
+        if (order.kind_ == OrderKind::Fence && settings_.wrongRule_ == WrongRule::PromoteFirst)
+            answer.position_ = {};
+        if (order.kind_ == OrderKind::Fence && settings_.wrongRule_ == WrongRule::CompareWithoutTerms)
+            answer.position_.term_ = 0;
+        const int w = connections_[number].watcher_;
+        send(MessageKind::OrderAnswer, e, w + groupSize, number, [this, w, e, number, accepted, answer, order] {
+            auto& watcher = watchers_[w];
+            if (connections_[number].closed_)
+                return;
+            if (watcher.order_[e] == number)
+                watcher.orderWaits_[e] = false;
+            if (accepted)
+                feed(w, OrderAnswered { order.kind_, order.term_, answer });
+            else
+                feed(w, OrderRefused { order.kind_, order.term_, answer.endpoint_, answer.promisedTerm_ });
+        });
+    }
+
+    void act(int w, const PauseWrites&) { watchers_[w].paused_ = true; }
+    void act(int w, const ResumeWrites&) { watchers_[w].paused_ = false; }
+    void act(int, const PublishRoute&) { }
+    void act(int, const RecordPhase& action) { phases_.push_back(action); }
+    void act(int, const LogChange&) { }
+
+    SimulationSettings settings_;
+    std::vector<Fault> faults_;
+    std::mt19937 random_;
+    TimePoint now_ { std::chrono::hours(1) };
+    TimePoint healed_ {};
+    TimePoint lastAckStart_ {};
+    TimePoint lastAck_ {};
+    std::uint64_t steps_ { 0 };
+    std::uint64_t eventNumber_ { 0 };
+    std::size_t injected_ { 0 };
+    std::vector<StepInfo> stepInfo_;
+    std::priority_queue<Event> events_;
+    std::array<Node, 2 * groupSize> nodes_ {};
+    std::array<FakeEndpoint, groupSize> endpoints_ {};
+    std::array<FakeWatcher, groupSize> watchers_ {};
+    std::vector<EndpointId> ids_;
+    std::vector<Connection> connections_;
+    std::map<LogPosition, EntryHistory> history_;
+    std::map<Term, int> primaries_;
+    std::vector<Violation> violations_;
+    std::vector<RecordPhase> phases_;
+};
+
+} // namespace cassiahollow::fake
