--- a/include/cassiahollow/connection/ConnectionPool.h
+++ b/include/cassiahollow/connection/ConnectionPool.h
@@ -116,7 +116,8 @@
 /// otherwise.
 bool statementStarted(ConnectionPool&, const ConnectionLease&, bool transactionOpen, TimePoint now);
 
-/// The whole answer of the statement has arrived. transactionOpen: whether a transaction is unfinished after it.
+/// The whole answer of the statement has arrived. transactionOpen: whether a transaction is unfinished after it. A
+/// `not_run` answer to a statement or a commit inside a transaction leaves the transaction unfinished.
 void statementFinished(ConnectionPool&, const ConnectionLease&, bool transactionOpen, TimePoint now);
 
 /// Returns the connection. It is closed rather than reused if a transaction is unfinished, a statement is still
