Reserve a slot only if there is an urgent class

Ruled out: reserving by the number of waiting urgent items (the slot has to be free before they arrive). Conclusion: the reservation depends on the settings of the classes.

--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -100,6 +100,7 @@
     ~AdmissionQueue();
 
     AdmissionSettings settings_;
+    bool hasUrgent_ { false }; ///< One of the classes is urgent, so a slot is reserved if there is more than one.
     std::size_t waiting_ { 0 };
     std::size_t running_ { 0 };
     std::size_t runningNotUrgent_ { 0 };
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -50,9 +50,15 @@
         item.state_ = State::Outside;
     }
 
+    // A slot is kept for urgent classes only if there are such classes.
+    bool reservesSlot(const AdmissionQueue& queue)
+    {
+        return queue.settings_.slots_ > 1 && queue.hasUrgent_;
+    }
+
     bool mayStartNotUrgent(const AdmissionQueue& queue)
     {
-        return queue.settings_.slots_ <= 1 || queue.runningNotUrgent_ + 1 < queue.settings_.slots_;
+        return !reservesSlot(queue) || queue.runningNotUrgent_ + 1 < queue.settings_.slots_;
     }
 
     bool isEligible(const AdmissionQueue& queue, const ClassLine& line, std::size_t connections)
@@ -244,6 +250,8 @@
 void configure(AdmissionQueue& queue, AdmissionSettings settings)
 {
     queue.settings_ = std::move(settings);
+    queue.hasUrgent_ = std::any_of(queue.settings_.classes_.begin(), queue.settings_.classes_.end(),
+        [](const auto& entry) { return entry.second.urgent_; });
     for (const auto& [name, known] : queue.settings_.classes_)
         lineOf(queue, name);
     for (auto& [name, line] : queue.classes_) {
@@ -266,8 +274,8 @@
     const auto weight = own ? own->settings_.weight_ : 1;
     const auto urgent = own && own->settings_.urgent_;
     const auto slots = queue.settings_.slots_;
-    const auto usable = slots > 1 && !urgent ? slots - 1 : slots;
-    const auto busy = urgent ? queue.running_ : queue.runningNotUrgent_;
+    const auto usable = reservesSlot(queue) && !urgent ? slots - 1 : slots;
+    const auto busy = usable == slots ? queue.running_ : queue.runningNotUrgent_;
     const auto cost = own ? own->serviceTime_ : Seconds(queue.settings_.initialServiceTime_).count();
     const auto any = [](const ClassLine&) { return true; };
     const auto isUrgent = [](const ClassLine& line) { return line.settings_.urgent_; };
@@ -277,7 +285,7 @@
     const auto residual = busy >= usable || queue.running_ >= slots ? cost / static_cast<double>(usable) : 0;
     auto wait = residual + ahead / static_cast<double>(usable);
     // The reserved slot serves the urgent classes alone, whatever the others have waiting.
-    if (urgent && slots > 1) {
+    if (urgent && reservesSlot(queue)) {
         const auto residualReserved = queue.running_ >= slots ? cost : 0;
         wait = std::min(wait, residualReserved + workAhead(queue, own, service, isUrgent, weight));
     }
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+// Guards against a slot that stays free for classes that do not exist.
+TEST_CASE("no slot is reserved without an urgent class")
+{
+    Bench bench(settingsOf(2));
+    for (int i = 0; i < 3; ++i)
+        bench.add("bulk");
+    REQUIRE(next(bench.queue_, start).start_.size() == 2);
+}
+
 // Guards against requests that occupy the queue although their caller will have given up.
 TEST_CASE("a request that cannot start before its deadline is refused at once")
 {
