--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -21,6 +21,8 @@
 
     ClassId class_;
     ServiceId service_;
+    /// The latest useful start: the caller's deadline less the time that the answer needs after the start. With the
+    /// caller's deadline itself, an overloaded queue starts most statements too late for their callers.
     TimePoint deadline_;
     /// A statement of a transaction that already has its connection. Such items need no free connection.
     bool ownsConnection_ { false };
