Add the fault matrix of the membership

Found by the matrix: an endpoint that had stopped was listed for 20 s if its holder had been cut off, because another instance refuted the expiry with an announcement almost 10 s old. Only announcements of the last 5 s refute now.

--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -304,9 +304,10 @@
         if (record.expired_) {
             state.ended_.insert_or_assign(key, context.now_);
             removeEndpoint(state.holders_, record.id_, context.now_);
-            // An instance that hears the endpoint knows better than a holder that was cut off from it.
+            // An instance that hears the endpoint knows better than a holder that was cut off from it. It heard the
+            // endpoint within half the lifetime; otherwise the end of one that is gone would be put off.
             if (heard != state.heard_.end() && isLaterAnnouncement(heard->second.record_, record)
-                && context.now_ < heard->second.at_ + state.settings_.announcementLifetime_)
+                && context.now_ < heard->second.at_ + state.settings_.announcementLifetime_ / 2)
                 applyEndpoint(context, heard->second.record_, true);
             return;
         }
--- a/tests/MembershipGroup.h
+++ b/tests/MembershipGroup.h
@@ -55,6 +55,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cut_; ///< Directed links that lose everything.
     Fault fault_;
     Rule wrongRule_;
+    std::multimap<TimePoint, std::function<void(Group&)>> scheduled_; ///< Faults and operations.
     TimePoint now_ { 1h };
     std::uint64_t order_ { 0 };
     std::uint64_t sent_ { 0 };
@@ -162,6 +163,13 @@
                     endpoint = i;
                 }
             }
+            if (!scheduled_.empty() && scheduled_.begin()->first <= next && scheduled_.begin()->first < end
+                && (deliveries_.empty() || scheduled_.begin()->first <= deliveries_.top().at_)) {
+                const auto task = scheduled_.extract(scheduled_.begin());
+                now_ = std::max(now_, task.key());
+                task.mapped()(*this);
+                continue;
+            }
             if (!deliveries_.empty() && deliveries_.top().at_ <= next && deliveries_.top().at_ < end) {
                 auto delivery = deliveries_.top();
                 deliveries_.pop();
