Let the endpoints of a cut data centre expire locally

Cause: the side that lost a data centre told that its endpoints had expired. When the data centre came back, the other side believed it for a moment, so that all its holders lost their roles, and every endpoint had to be refuted. Now each instance hides the endpoints of a data centre that has no eligible instance for 10 s, without messages, unless instances elsewhere hear them.

--- a/include/cassiahollow/process/Directory.h
+++ b/include/cassiahollow/process/Directory.h
@@ -60,6 +60,9 @@
     std::uint64_t started_ { 0 }; ///< Start time of the endpoint, ms since the Unix epoch by the endpoint's clock.
     std::uint64_t sequence_ { 0 }; ///< Number of the announcement since that start.
     bool expired_ { false }; ///< No announcement arrived for the announcement lifetime.
+    /// Instances of other data centres get its announcements, because its own data centre has no instance that could
+    /// hold it.
+    bool heardOutside_ { false };
 
     bool operator==(const EndpointRecord&) const = default;
 };
@@ -122,6 +125,9 @@
     std::map<GroupId, RouteRecord> routes_;
     std::map<GroupId, GroupMembersRecord> groupMembers_;
     std::uint64_t settingsRevision_ { 0 }; ///< The highest settings revision seen anywhere.
+    /// Data centres without an instance that could hold endpoints, for longer than the announcement lifetime. Their
+    /// endpoints count as expired unless instances elsewhere hear them.
+    std::set<DataCentre> unreachable_;
 
     // Derived from the records.
     std::map<GroupId, std::set<EndpointId>> byGroup_; ///< Endpoints that are not expired.
@@ -145,6 +151,8 @@
 void forgetRecord(DirectoryState&, const RecordKey&);
 /// Returns a copy of a record, or nothing.
 std::optional<Record> findRecord(const DirectoryState&, const RecordKey&);
+/// Returns true if the endpoint announces itself somewhere that this instance can know of.
+bool isAnnounced(const DirectoryState&, const EndpointRecord&);
 /// Returns true if two announcements differ in more than their sequence, so that the new one has to be spread.
 bool announcesChange(const EndpointRecord& known, const EndpointRecord& announced);
 /// Returns the buckets in which two digests differ.
--- a/include/cassiahollow/process/Membership.h
+++ b/include/cassiahollow/process/Membership.h
@@ -202,12 +202,15 @@
     bool urgent_ { false }; ///< An Update message is due.
     std::uint64_t repairCount_ { 0 };
     std::unordered_map<EndpointId, Heard> heard_;
+    /// Since when a data centre has had no instance that could hold its endpoints.
+    std::map<DataCentre, TimePoint> emptySince_;
     std::uint64_t pulledRevision_ { 0 }; ///< The revision of the last PullSettings.
 
     // Timers.
     TimePoint probeAt_ {};
     TimePoint contactAt_ {};
     TimePoint repairAt_ {};
+    TimePoint returnRepairAt_ {}; ///< Earliest next repair with an instance that returned.
     TimePoint urgentAt_ {};
     TimePoint pullAt_ {};
     TimePoint forgetAt_ {};
--- a/src/process/Directory.cpp
+++ b/src/process/Directory.cpp
@@ -244,7 +244,7 @@
                          [](const EndpointRecord& r) {
                              return textSize(r.id_.value_) + textSize(r.group_.value_) + textSize(r.address_)
                                  + textSize(r.dataCentre_.value_) + numberSize(r.slots_) + numberSize(r.connections_)
-                                 + numberSize(r.promisedTerm_) + numberSize(r.started_) + numberSize(r.sequence_) + 6;
+                                 + numberSize(r.promisedTerm_) + numberSize(r.started_) + numberSize(r.sequence_) + 8;
                          },
                          [](const DrainRecord& r) { return textSize(r.endpoint_.value_) + numberSize(r.started_); },
                          [](const RouteRecord& r) {
@@ -313,6 +313,11 @@
     return std::nullopt;
 }
 
+bool isAnnounced(const DirectoryState& state, const EndpointRecord& record)
+{
+    return !record.expired_ && (record.heardOutside_ || !state.unreachable_.contains(record.dataCentre_));
+}
+
 bool announcesChange(const EndpointRecord& known, const EndpointRecord& announced)
 {
     auto comparable = announced;
@@ -344,8 +349,10 @@
 {
     std::vector<EndpointRecord> endpoints;
     if (const auto ids = state.byGroup_.find(group); ids != state.byGroup_.end()) {
-        for (const auto& id : ids->second)
-            endpoints.push_back(state.endpoints_.at(id));
+        for (const auto& id : ids->second) {
+            if (const auto& endpoint = state.endpoints_.at(id); isAnnounced(state, endpoint))
+                endpoints.push_back(endpoint);
+        }
     }
     return endpoints;
 }
@@ -353,7 +360,7 @@
 std::optional<EndpointRecord> findEndpoint(const DirectoryState& state, const EndpointId& id)
 {
     auto endpoint = lookUp(state.endpoints_, id);
-    if (endpoint && endpoint->expired_)
+    if (endpoint && !isAnnounced(state, *endpoint))
         return std::nullopt;
     return endpoint;
 }
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -22,8 +22,10 @@
     /// Contact attempts while no other instance is known, and repairs until the first one is complete.
     constexpr Duration joinInterval = 1s;
     constexpr Duration joinRepairInterval = 200ms;
-    /// Repair messages of 1,200 bytes in one direction of a repair. At 8 a repair every second takes less than the
-    /// 11 KB/s that control may cost.
+    /// Repairs after one that left records out, and after the return of an instance.
+    constexpr Duration catchUpInterval = 2s;
+    /// Repair messages of 1,200 bytes in one direction of a repair. With 8 of them a repair every 2 s takes about half
+    /// of the 11 KB/s that control may cost.
     constexpr std::size_t repairMessages = 8;
     constexpr std::size_t marksPerMessage = 100;
     constexpr Duration forgetInterval = 60s;
@@ -242,6 +244,8 @@
             state.probe_.reset();
     }
 
+    void applyEndpoint(Context&, const EndpointRecord&, bool spread);
+
     /// `spread` is false for records that a joining instance gets from a repair: all others have them.
     void applyInstance(Context& context, const InstanceRecord& record, bool spread)
     {
@@ -288,9 +292,26 @@
             context.actions_.emplace_back(RecordChanged { key });
     }
 
+    /// Publishes the latest announcement if it was heard within half the lifetime and is later than the end of the
+    /// endpoint that another instance tells: that one was cut off from the endpoint. An older announcement would only
+    /// put off the end of an endpoint that is gone.
+    bool refuteExpiry(Context& context, const EndpointRecord& record)
+    {
+        auto& state = context.state_;
+        const auto heard = state.heard_.find(record.id_);
+        if (heard == state.heard_.end() || !isLaterAnnouncement(heard->second.record_, record)
+            || context.now_ >= heard->second.at_ + state.settings_.announcementLifetime_ / 2)
+            return false;
+        const auto live = heard->second.record_;
+        applyEndpoint(context, live, true);
+        return true;
+    }
+
     void applyEndpoint(Context& context, const EndpointRecord& record, bool spread)
     {
         auto& state = context.state_;
+        if (record.expired_ && refuteExpiry(context, record))
+            return;
         const bool wasLeaving = isLeaving(state.directory_, record.id_);
         if (mergeRecord(state.directory_, record) != MergeResult::Newer)
             return;
@@ -300,19 +321,17 @@
             enqueue(context, key);
             state.urgent_ |= record.leaving_ && !wasLeaving;
         }
-        auto heard = state.heard_.find(record.id_);
         if (record.expired_) {
             state.ended_.insert_or_assign(key, context.now_);
             removeEndpoint(state.holders_, record.id_, context.now_);
-            // An instance that hears the endpoint knows better than a holder that was cut off from it. It heard the
-            // endpoint within half the lifetime; otherwise the end of one that is gone would be put off.
-            if (heard != state.heard_.end() && isLaterAnnouncement(heard->second.record_, record)
-                && context.now_ < heard->second.at_ + state.settings_.announcementLifetime_ / 2)
-                applyEndpoint(context, heard->second.record_, true);
             return;
         }
         state.ended_.erase(key);
-        addEndpoint(state.holders_, record.id_, record.dataCentre_, context.now_);
+        if (isAnnounced(state.directory_, record))
+            addEndpoint(state.holders_, record.id_, record.dataCentre_, context.now_);
+        else
+            removeEndpoint(state.holders_, record.id_, context.now_);
+        const auto heard = state.heard_.find(record.id_);
         if (heard == state.heard_.end() || isLaterAnnouncement(record, heard->second.record_))
             state.heard_.insert_or_assign(record.id_, MembershipState::Heard { record, context.now_ });
     }
@@ -343,6 +362,7 @@
     {
         auto& state = context.state_;
         record.expired_ = false;
+        record.heardOutside_ = !state.holders_.eligible_.contains(record.dataCentre_);
         const auto known = state.directory_.endpoints_.find(record.id_);
         if (known != state.directory_.endpoints_.end() && !isLaterAnnouncement(record, known->second))
             return;
@@ -440,7 +460,8 @@
                 sendRepair(context, message.sender_.address_, message.number_, std::move(buckets), false);
         }
         if (message.more_)
-            state.repairAt_ = std::min(state.repairAt_, context.now_ + (state.synced_ ? 1s : joinRepairInterval));
+            state.repairAt_
+                = std::min(state.repairAt_, context.now_ + (state.synced_ ? catchUpInterval : joinRepairInterval));
         else if (!message.digest_.empty() || message.records_.empty())
             state.synced_ = true;
     }
@@ -520,9 +541,12 @@
         case MembershipMessageKind::Announcement:
             break;
         }
-        // The end of a partition: what both sides missed is repaired at once.
-        if (wasDead && known->status_ == InstanceStatus::Alive)
+        // The end of a partition: what both sides missed is repaired at once. Many instances return together, and a
+        // repair may take 11 KB in each direction.
+        if (wasDead && known->status_ == InstanceStatus::Alive && context.now_ >= state.returnRepairAt_) {
+            state.returnRepairAt_ = context.now_ + catchUpInterval;
             sendDigest(context, known->address_);
+        }
         pullSettings(context, known);
     }
 
@@ -613,6 +637,11 @@
 
     TimePoint expiryOf(const MembershipState& state, const EndpointId& id)
     {
+        // The holder in another data centre has lost contact with the endpoint's own one and cannot tell whether the
+        // endpoint lives, unless it hears it.
+        const auto& record = state.directory_.endpoints_.at(id);
+        if (record.dataCentre_ != state.self_.dataCentre_ && !record.heardOutside_)
+            return TimePoint::max();
         auto last = std::max(holderSince(state.holders_, id).value_or(TimePoint {}), state.resumedAt_);
         if (const auto heard = state.heard_.find(id); heard != state.heard_.end())
             last = std::max(last, heard->second.at_);
@@ -636,6 +665,45 @@
         }
     }
 
+    void setUnreachable(Context& context, const DataCentre& dataCentre, bool unreachable)
+    {
+        auto& state = context.state_;
+        if (unreachable ? !state.directory_.unreachable_.insert(dataCentre).second
+                        : state.directory_.unreachable_.erase(dataCentre) == 0)
+            return;
+        for (const auto& [id, record] : state.directory_.endpoints_) {
+            if (record.dataCentre_ != dataCentre || record.expired_ || record.heardOutside_)
+                continue;
+            if (unreachable)
+                removeEndpoint(state.holders_, id, context.now_);
+            else
+                addEndpoint(state.holders_, id, dataCentre, context.now_);
+            context.actions_.emplace_back(RecordChanged { { RecordKind::Endpoint, id.value_ } });
+        }
+    }
+
+    /// When a data centre is cut off, each instance lets its endpoints expire by itself, and takes them back when an
+    /// instance there returns. Telling each other would cost about 100 KB for each instance at both times, and the
+    /// side that was cut off would have to refute the end of all its endpoints.
+    void watchDataCentres(Context& context)
+    {
+        auto& state = context.state_;
+        for (const auto& [dataCentre, endpoints] : state.holders_.byDataCentre_) {
+            if (!state.holders_.eligible_.contains(dataCentre))
+                state.emptySince_.try_emplace(dataCentre, context.now_);
+        }
+        for (auto empty = state.emptySince_.begin(); empty != state.emptySince_.end();) {
+            if (state.holders_.eligible_.contains(empty->first)) {
+                setUnreachable(context, empty->first, false);
+                empty = state.emptySince_.erase(empty);
+                continue;
+            }
+            if (context.now_ >= empty->second + state.settings_.announcementLifetime_)
+                setUnreachable(context, empty->first, true);
+            ++empty;
+        }
+    }
+
     void forgetEnded(Context& context)
     {
         auto& state = context.state_;
@@ -657,6 +725,7 @@
         auto& state = context.state_;
         const auto now = context.now_;
         std::erase_if(state.relays_, [now](const auto& relay) { return relay.second.until_ <= now; });
+        watchDataCentres(context);
         expireHeld(context);
         if (now >= state.forgetAt_)
             forgetEnded(context);
--- a/src/process/MembershipCodec.cpp
+++ b/src/process/MembershipCodec.cpp
@@ -35,6 +35,7 @@
         out.set_started(record.started_);
         out.set_sequence(record.sequence_);
         out.set_expired(record.expired_);
+        out.set_heard_outside(record.heardOutside_);
     }
 
     struct RecordEncoder {
@@ -101,7 +102,7 @@
             return { EndpointId(id(in.id())), GroupId(id(in.group())), text(in.address()),
                 DataCentre(text(in.data_centre())), in.slots(), in.connections(),
                 in.primary() ? EndpointRole::Primary : EndpointRole::Replica, in.promised_term(), in.leaving(),
-                in.started(), in.sequence(), in.expired() };
+                in.started(), in.sequence(), in.expired(), in.heard_outside() };
         }
 
         GroupMembersRecord read(const wire::GroupMembersRecord& in)
