--- a/tests/MembershipGroup.h
+++ b/tests/MembershipGroup.h
@@ -55,6 +55,7 @@
     std::set<std::pair<std::size_t, std::size_t>> cut_; ///< Directed links that lose everything.
     Fault fault_;
     Rule wrongRule_;
+    std::multimap<TimePoint, std::function<void(Group&)>> scheduled_; ///< Faults and operations.
     TimePoint now_ { 1h };
     std::uint64_t order_ { 0 };
     std::uint64_t sent_ { 0 };
@@ -162,6 +163,13 @@
                     endpoint = i;
                 }
             }
+            if (!scheduled_.empty() && scheduled_.begin()->first <= next && scheduled_.begin()->first < end
+                && (deliveries_.empty() || scheduled_.begin()->first <= deliveries_.top().at_)) {
+                const auto task = scheduled_.extract(scheduled_.begin());
+                now_ = std::max(now_, task.key());
+                task.mapped()(*this);
+                continue;
+            }
             if (!deliveries_.empty() && deliveries_.top().at_ <= next && deliveries_.top().at_ < end) {
                 auto delivery = deliveries_.top();
                 deliveries_.pop();
@@ -182,16 +190,20 @@
 
     void run(Duration time) { runUntil(now_ + time); }
 
-    /// Sends the announcement of an endpoint to an instance of its data centre, a different one each time.
+    /// Sends the announcement of an endpoint to an instance of its data centre, a different one each time, or to one
+    /// elsewhere if none runs there.
     void announce(std::size_t i)
     {
         auto& endpoint = endpoints_[i];
         ++endpoint.record_.sequence_;
         endpoint.next_ = now_ + 1s;
-        for (std::size_t attempt = 0; attempt < nodes_.size(); ++attempt) {
-            const auto node = (endpoint.record_.sequence_ + attempt) % nodes_.size();
-            if (place(node) == endpoint.record_.dataCentre_ && isUp(node) && nodes_[node].frozenUntil_ <= now_)
-                return handle(node, EndpointAnnounced { endpoint.record_ });
+        for (const bool anywhere : { false, true }) {
+            for (std::size_t attempt = 0; attempt < nodes_.size(); ++attempt) {
+                const auto node = (endpoint.record_.sequence_ + attempt) % nodes_.size();
+                if ((anywhere || place(node) == endpoint.record_.dataCentre_) && isUp(node)
+                    && nodes_[node].frozenUntil_ <= now_)
+                    return handle(node, EndpointAnnounced { endpoint.record_ });
+            }
         }
     }
 
