Send votes between watchers and wait while a watch opens its connections

Cause: without votes a watcher is alone with its suspicion, so a group in several data centres was never promoted; and a new holder refused requests as without majority before its watch had heard from the members. Ruled out: promotion on one suspicion, which one bad link would trigger. Before: writes ran into their deadline after the primary was killed.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -1,6 +1,7 @@
 #include "process/ServeTask.h"
 
 #include "cassiahollow/process/MembershipCodec.h"
+#include "cassiahollow/version/GroupMessages.h"
 #include "process/Log.h"
 
 #include <algorithm>
@@ -156,6 +157,8 @@
         receiveForward(message);
         return;
     case PeerMessageKind::Group:
+        receiveVote(message);
+        return;
     case PeerMessageKind::Control:
         return;
     }
@@ -376,7 +379,29 @@
     watched.watch_->configure(std::move(groupMembers), std::move(groupWatchers));
 }
 
-void ServeTask::sendVote(const GroupVote&) { }
+void ServeTask::sendVote(const GroupVote& vote)
+{
+    const auto watched = watched_.find(vote.group_);
+    if (watched == watched_.end())
+        return;
+    for (const auto& [instance, alive] : watched->second.watchers_) {
+        const auto record = membership_.directory_.instances_.find(instance);
+        if (instance != settings_.instance_ && record != membership_.directory_.instances_.end())
+            peers_.send(record->second.address_, PeerMessageKind::Group, encodeGroupVote(vote));
+    }
+}
+
+void ServeTask::receiveVote(const PeerMessage& message)
+{
+    const auto vote = decodeGroupVote(message.body_);
+    if (!vote || vote->voter_ != message.sender_) {
+        metrics_.count(Reason::MessageMalformed);
+        return;
+    }
+    const auto watched = watched_.find(vote->group_);
+    if (watched != watched_.end())
+        watched->second.watch_->receiveVote(*vote);
+}
 
 void ServeTask::housekeep()
 {
--- a/daemon/process/ServeTask.h
+++ b/daemon/process/ServeTask.h
@@ -38,6 +38,7 @@
     void takeMessages();
     void receive(PeerMessage&);
     void receiveForward(const PeerMessage&);
+    void receiveVote(const PeerMessage&);
     bool isStale(const PeerMessage&);
 
     void feed(const MembershipEvent&);
--- a/daemon/request/HolderService.cpp
+++ b/daemon/request/HolderService.cpp
@@ -152,6 +152,8 @@
         indexOf(watch->view(), request.endpoint_) };
     const ReadChoice choice = chooseRead(watch->view(), need, now);
     if (const auto* refused = std::get_if<ReadRefused>(&choice)) {
+        if (refused->reason_ != Reason::DeadlinePassed && watch->isWarmingUp(now))
+            return false;
         refuse(pending, refused->reason_);
         return true;
     }
@@ -234,6 +236,8 @@
         return true;
     }
     if (!hasMajority(watch->state(), now)) {
+        if (watch->isWarmingUp(now))
+            return false;
         refuse(pending, Reason::GroupWithoutMajority);
         return true;
     }
--- a/daemon/version/GroupWatch.h
+++ b/daemon/version/GroupWatch.h
@@ -34,8 +34,13 @@
 
     const GroupState& state() const { return state_; }
     const GroupView& view() const { return view_; }
+    /// True for a short time after the start of this watch, while its connections are being opened. What looks like
+    /// a lost majority then is only a watch that has not heard from the members yet.
+    bool isWarmingUp(TimePoint now) const { return now < started_ + warmUp; }
 
 private:
+    static constexpr std::chrono::milliseconds warmUp { 1000 };
+
     struct PendingOrder {
         OrderKind kind_;
         Term term_;
@@ -81,6 +86,7 @@
     GroupView view_;
     std::map<EndpointId, Member> members_;
     std::optional<EventLoop::TimerId> timer_;
+    TimePoint started_ { Clock::now() };
     EventLoop::TimerId questionTimer_ {};
 };
 
--- a/tests/GroupTermTest.cpp
+++ b/tests/GroupTermTest.cpp
@@ -45,9 +45,9 @@
     /// Group in term 1 with primary a; everything is replicated.
     void warm()
     {
-        set(a, MemberRole::Primary, 1, { 1, 5 });
-        set(b, MemberRole::Replica, 1, { 1, 5 });
-        set(c, MemberRole::Replica, 1, { 1, 5 });
+        set(a, EndpointRole::Primary, 1, { 1, 5 });
+        set(b, EndpointRole::Replica, 1, { 1, 5 });
+        set(c, EndpointRole::Replica, 1, { 1, 5 });
         for (const auto& probe : take<OpenProbe>())
             feed(ProbeAnswered { probe.probe_, reports_[probe.endpoint_] });
         actions_.clear();
@@ -345,14 +345,14 @@
     watcher.fail();
     watcher.fenced(b, 2, { 1, 5 });
     watcher.fenced(c, 2, { 1, 5 });
-    watcher.set(b, MemberRole::Primary, 2, { 2, 6 });
-    watcher.set(c, MemberRole::Replica, 2, { 1, 5 });
+    watcher.set(b, EndpointRole::Primary, 2, { 2, 6 });
+    watcher.set(c, EndpointRole::Replica, 2, { 1, 5 });
     watcher.pass(0ms);
     REQUIRE(primaryOf(watcher.state_) == b);
     watcher.actions_.clear();
-    watcher.set(a, MemberRole::Replica, 3, { 1, 5 });
-    watcher.set(b, MemberRole::Replica, 3, { 2, 6 });
-    watcher.set(c, MemberRole::Replica, 3, { 1, 5 });
+    watcher.set(a, EndpointRole::Replica, 3, { 1, 5 });
+    watcher.set(b, EndpointRole::Replica, 3, { 2, 6 });
+    watcher.set(c, EndpointRole::Replica, 3, { 1, 5 });
     watcher.pass(1200ms);
     REQUIRE(watcher.orders(OrderKind::Fence) >= 3);
     REQUIRE(watcher.take<SendOrder>().back().term_ == 4);
--- a/tests/RequestMatrixTest.cpp
+++ b/tests/RequestMatrixTest.cpp
@@ -396,7 +396,7 @@
 
     void report(int e)
     {
-        const MemberReport message { endpointName(e), endpoints_[e].last(), endpoints_[e].promised_, false, {} };
+        const PositionReport message { endpointName(e), endpoints_[e].last(), endpoints_[e].promised_, false, {} };
         for (int i = 0; i < instanceCount; ++i) {
             send(e, instanceNode(i), -1, 1ms, [=, this] {
                 auto& instance = instances_[i];
--- a/tests/support/GroupSimulation.h
+++ b/tests/support/GroupSimulation.h
@@ -70,7 +70,7 @@
     Term promised_ { 0 };
     std::string promoter_;
     // Lost in a crash.
-    MemberRole role_ { MemberRole::Replica };
+    EndpointRole role_ { EndpointRole::Replica };
     int following_ { -1 };
     std::array<bool, groupSize> pulling_ {}; ///< Replicas whose pull waits for entries.
     std::array<std::vector<Term>, groupSize> pullLogs_;
@@ -126,7 +126,7 @@
             ids_.emplace_back("e" + std::to_string(e));
         }
         if (settings_.warm_) {
-            endpoints_[0].role_ = MemberRole::Primary;
+            endpoints_[0].role_ = EndpointRole::Primary;
             primaries_[1] = 0;
         }
         for (int e = 0; e < groupSize; ++e)
@@ -408,7 +408,7 @@
     {
         auto& endpoint = endpoints_[e];
         if (nodes_[e].life_ > 1) {
-            endpoint.role_ = MemberRole::Replica;
+            endpoint.role_ = EndpointRole::Replica;
             endpoint.following_ = -1;
             endpoint.pulling_ = {};
         }
@@ -471,7 +471,7 @@
         auto& entry = history_[endpoint.last()];
         if (endpoint.promised_ == term)
             entry.heldBy_ |= 1U << e;
-        if (endpoint.role_ == MemberRole::Primary)
+        if (endpoint.role_ == EndpointRole::Primary)
             entry.afterNewerTerm_ = majorityPromisedAbove(term);
     }
 
@@ -480,7 +480,7 @@
         auto& endpoint = endpoints_[e];
         endpoint.promised_ = term;
         endpoint.promoter_ = promoter;
-        endpoint.role_ = MemberRole::Replica;
+        endpoint.role_ = EndpointRole::Replica;
         endpoint.following_ = -1;
         endpoint.pulling_ = {};
     }
@@ -501,9 +501,9 @@
         case OrderKind::Promote:
             if (!same)
                 return false;
-            if (endpoint.role_ == MemberRole::Primary)
+            if (endpoint.role_ == EndpointRole::Primary)
                 break;
-            endpoint.role_ = MemberRole::Primary;
+            endpoint.role_ = EndpointRole::Primary;
             endpoint.following_ = -1;
             if (!primaries_.try_emplace(order.term_, e).second && primaries_[order.term_] != e)
                 violations_.push_back(Violation::TwoPrimaries);
@@ -512,7 +512,7 @@
         case OrderKind::Follow:
             // Any watcher may say who the primary of a term is; there is only one.
             if (order.term_ < endpoint.promised_
-                || (order.term_ == endpoint.promised_ && endpoint.role_ == MemberRole::Primary))
+                || (order.term_ == endpoint.promised_ && endpoint.role_ == EndpointRole::Primary))
                 return false;
             if (order.term_ > endpoint.promised_)
                 promise(e, order.term_, order.promoter_);
@@ -536,7 +536,7 @@
         const int primary = endpoint.following_;
         send(MessageKind::Pull, e, primary, 0, [this, e, primary, term = endpoint.promised_, log = endpoint.log_] {
             auto& source = endpoints_[primary];
-            if (source.role_ != MemberRole::Primary || source.promised_ != term)
+            if (source.role_ != EndpointRole::Primary || source.promised_ != term)
                 return;
             source.pulling_[e] = true;
             source.pullLogs_[e] = log;
@@ -581,7 +581,7 @@
     void write(int e, int w, Term term, TimePoint started)
     {
         auto& endpoint = endpoints_[e];
-        if (endpoint.role_ != MemberRole::Primary || endpoint.promised_ != term)
+        if (endpoint.role_ != EndpointRole::Primary || endpoint.promised_ != term)
             return;
         append(e, term);
         const auto position = endpoint.last();
