Measure the failover gap by phase and against two baselines

Ruled out: a planned change under the clock lease as a row; a primary could give its lease back, so holding the fence says nothing.

--- a/tests/support/GroupMatrix.h
+++ b/tests/support/GroupMatrix.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "support/GroupSimulation.h"
+#include "GroupSimulation.h"
 
 #include <atomic>
 #include <mutex>
--- a/tests/support/GroupSimulation.h
+++ b/tests/support/GroupSimulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "GroupFaults.h"
 #include "cassiahollow/version/GroupTerm.h"
-#include "support/GroupFaults.h"
 
 #include <algorithm>
 #include <array>
@@ -216,6 +216,23 @@
         heal(now_ + duration);
     }
 
+    /// Cuts a data centre off from the others.
+    void cutCentre(int centre, Duration duration)
+    {
+        for (const int node : { centre, centre + groupSize })
+            nodes_[node].cutOut_ = nodes_[node].cutIn_ = now_ + duration;
+        heal(now_ + duration);
+    }
+
+    /// Whether the newest term has acknowledged a write.
+    bool currentTermAcknowledged() const
+    {
+        return !primaries_.empty() && history_.rbegin()->first.term_ == primaries_.rbegin()->first
+            && std::any_of(history_.rbegin(), history_.rend(), [&](const auto& entry) {
+                   return entry.first.term_ == primaries_.rbegin()->first && entry.second.acknowledged_;
+               });
+    }
+
     /// The violated guarantees, empty for a correct run. The caller has run the simulation to its end.
     std::vector<Violation> violations() const
     {
@@ -604,6 +621,9 @@
         watcher = {};
         GroupTimings timings;
         timings.rankDelay_ = settings_.rankDelay_;
+        // Under a lease the answers to `fence` take up to one lease longer, and the other watchers have to know that.
+        timings.unfinished_ += settings_.lease_;
+        timings.rankDelay_ += settings_.lease_;
         if (settings_.wrongRule_ == WrongRule::LongInterval)
             timings.promotionInterval_ = std::chrono::seconds(30);
         watcher.state_ = makeGroupState(GroupId("g"), InstanceId("w" + std::to_string(w)),
