Add the last confirmed position and drop votes that have expired

Cause: the replacement of a member has to know the last confirmed position of the current term; expired votes of former watchers stayed in the state for good. Ruled out: a check in the module of when a member may be added; the member list belongs to the directory. Before: no query.

--- a/include/cassiahollow/version/GroupTerm.h
+++ b/include/cassiahollow/version/GroupTerm.h
@@ -312,6 +312,10 @@
 /// same term at or past it, while they had promised no newer term. Each member counts once.
 bool isConfirmed(const GroupState&, const LogPosition&);
 
+/// The highest position of the current term that is confirmed, or nothing while none is. A replacement of a member adds
+/// the new one when a majority of the remaining members holds the position that this returned before the removal.
+std::optional<LogPosition> lastConfirmed(const GroupState&);
+
 /// Whether a majority of the members was heard from within the suspicion time. Without it writes are refused as
 /// `group_without_majority`.
 bool hasMajority(const GroupState&, TimePoint now);
--- a/src/version/GroupTerm.cpp
+++ b/src/version/GroupTerm.cpp
@@ -257,6 +257,8 @@
     {
         if (event.vote_.group_ != state.group_ || event.vote_.voter_ == state.self_)
             return;
+        std::erase_if(
+            state.votes_, [&](const auto& vote) { return now - vote.second.received_ > state.timings_.voteLife_; });
         state.votes_[event.vote_.voter_] = { event.vote_, now };
         learnPromised(state, event.vote_.highestPromised_, now);
     }
@@ -360,6 +362,18 @@
     return static_cast<std::size_t>(holders) >= majority(state);
 }
 
+std::optional<LogPosition> lastConfirmed(const GroupState& state)
+{
+    std::optional<LogPosition> last;
+    for (const auto& member : state.members_) {
+        const auto& position = member.confirmed_;
+        if (position.term_ == state.term_ && state.term_ > 0 && isConfirmed(state, position)
+            && (!last || position > *last))
+            last = position;
+    }
+    return last;
+}
+
 bool hasMajority(const GroupState& state, TimePoint now)
 {
     const auto fresh = std::count_if(state.members_.begin(), state.members_.end(),
--- a/tests/GroupTermTest.cpp
+++ b/tests/GroupTermTest.cpp
@@ -163,6 +163,21 @@
     }
 }
 
+// Guards against a replacement that goes on before a majority of the remaining members holds every confirmed write.
+TEST_CASE("the last confirmed position is that of a majority in the current term")
+{
+    Watcher watcher;
+    REQUIRE_FALSE(lastConfirmed(watcher.state_));
+    watcher.warm();
+    watcher.set(a, MemberRole::Primary, 1, { 1, 9 });
+    watcher.set(b, MemberRole::Replica, 1, { 1, 7 });
+    watcher.pass(0ms);
+    REQUIRE(lastConfirmed(watcher.state_) == LogPosition { 1, 7 });
+    watcher.feed(GroupConfigured { { { a, DataCentre("dc1") }, { c, DataCentre("dc3") } }, Watcher::watchers(true) });
+    REQUIRE(lastConfirmed(watcher.state_) == LogPosition { 1, 5 });
+    REQUIRE_FALSE(isConfirmed(watcher.state_, { 1, 7 }));
+}
+
 // Guards against a failover because one connection hangs.
 TEST_CASE("a silent watch is replaced by a new connection that answers")
 {
