Expect a transaction's statement to start ahead of its class

Cause: statements of transactions go first in their class, but their expected wait counted the whole class, so running transactions were refused and their work was lost. Ruled out: exempting them from the early refusal (one that cannot start in time should still free its connection early). AdmissionQueueTest has a check for it.

--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -150,6 +150,6 @@
 std::optional<TimePoint> nextDeadline(const AdmissionQueue&);
 
 /// How long an item of this class and service would wait for its start by the learned service times.
-Duration expectedWait(const AdmissionQueue&, const ClassId&, const ServiceId&);
+Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, bool ownsConnection = false);
 
 } // namespace cassiahollow
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -112,31 +112,31 @@
         return item;
     }
 
-    // Statements of the line that start before a new item of the service, if services take turns.
-    double aheadInLine(const ClassLine& line, const ServiceId& name)
+    // Statements of the line that start before a new item of the service: statements of transactions go first, then
+    // services take turns.
+    double aheadInLine(const ClassLine& line, const ServiceId& name, bool ownsConnection)
     {
-        const auto own = line.services_.find(name);
-        const auto ownCount = own == line.services_.end() ? 0 : own->second.items_.size();
         std::size_t ahead = line.owningConnection_.size();
-        for (const auto& service : line.activeServices_)
-            ahead += std::min(service.items_.size(), ownCount + 1);
+        if (!ownsConnection) {
+            const auto own = line.services_.find(name);
+            const auto ownCount = own == line.services_.end() ? 0 : own->second.items_.size();
+            for (const auto& service : line.activeServices_)
+                ahead += std::min(service.items_.size(), ownCount + 1);
+        }
         return static_cast<double>(ahead);
     }
 
-    // Slot time that classes accepted by the predicate use before a new item of the class starts.
+    // Slot time that classes accepted by the predicate use before a new item starts of which `ownWork` seconds are
+    // ahead in its own class.
     template <typename Predicate>
-    double workAhead(
-        const AdmissionQueue& queue, const ClassLine* own, const ServiceId& service, Predicate predicate, double weight)
+    double workAhead(const AdmissionQueue& queue, const ClassLine& own, double ownWork, Predicate predicate)
     {
-        const auto initial = Seconds(queue.settings_.initialServiceTime_).count();
-        const auto ownCost = own ? own->serviceTime_ : initial;
-        const auto ownWork = own ? aheadInLine(*own, service) * ownCost : 0;
         auto work = ownWork;
         for (const auto& line : queue.activeClasses_) {
-            if (&line == own || !predicate(line))
+            if (&line == &own || !predicate(line))
                 continue;
             const auto backlog = static_cast<double>(line.waiting_) * line.serviceTime_;
-            work += std::min(backlog, (ownWork + ownCost) * line.settings_.weight_ / weight);
+            work += std::min(backlog, (ownWork + own.serviceTime_) * line.settings_.weight_ / own.settings_.weight_);
         }
         return work;
     }
@@ -167,7 +167,7 @@
         if (queue.waiting_ >= queue.settings_.maximumLength_ || static_cast<double>(line.waiting_) + 1 > share)
             return Reason::QueueFull;
     }
-    if (expectedWait(queue, item.class_, item.service_) > item.deadline_ - now)
+    if (expectedWait(queue, item.class_, item.service_, item.ownsConnection_) > item.deadline_ - now)
         return Reason::DeadlineUnreachable;
 
     if (item.ownsConnection_) {
@@ -267,27 +267,25 @@
     return queue.deadlines_.begin()->deadline_;
 }
 
-Duration expectedWait(const AdmissionQueue& queue, const ClassId& name, const ServiceId& service)
+Duration expectedWait(AdmissionQueue& queue, const ClassId& name, const ServiceId& service, bool ownsConnection)
 {
-    const auto known = queue.classes_.find(name);
-    const auto* own = known == queue.classes_.end() ? nullptr : &known->second;
-    const auto weight = own ? own->settings_.weight_ : 1;
-    const auto urgent = own && own->settings_.urgent_;
+    const auto& own = lineOf(queue, name);
+    const auto urgent = own.settings_.urgent_;
     const auto slots = queue.settings_.slots_;
     const auto usable = reservesSlot(queue) && !urgent ? slots - 1 : slots;
     const auto busy = usable == slots ? queue.running_ : queue.runningNotUrgent_;
-    const auto cost = own ? own->serviceTime_ : Seconds(queue.settings_.initialServiceTime_).count();
     const auto any = [](const ClassLine&) { return true; };
     const auto isUrgent = [](const ClassLine& line) { return line.settings_.urgent_; };
 
-    const auto ahead = workAhead(queue, own, service, any, weight);
+    const auto ownWork = aheadInLine(own, service, ownsConnection) * own.serviceTime_;
     // With all usable slots busy, the first of them becomes free after about its share of a service time.
-    const auto residual = busy >= usable || queue.running_ >= slots ? cost / static_cast<double>(usable) : 0;
-    auto wait = residual + ahead / static_cast<double>(usable);
+    const auto residual
+        = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / static_cast<double>(usable) : 0;
+    auto wait = residual + workAhead(queue, own, ownWork, any) / static_cast<double>(usable);
     // The reserved slot serves the urgent classes alone, whatever the others have waiting.
     if (urgent && reservesSlot(queue)) {
-        const auto residualReserved = queue.running_ >= slots ? cost : 0;
-        wait = std::min(wait, residualReserved + workAhead(queue, own, service, isUrgent, weight));
+        const auto residualReserved = queue.running_ >= slots ? own.serviceTime_ : 0;
+        wait = std::min(wait, residualReserved + workAhead(queue, own, ownWork, isUrgent));
     }
     return std::chrono::duration_cast<Duration>(Seconds(wait));
 }
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -129,6 +129,7 @@
     REQUIRE_FALSE(bench.add("c", "s", 21ms).has_value());
     REQUIRE(bench.add("c", "s", 0ms) == Reason::DeadlinePassed);
     REQUIRE_FALSE(bench.add("c", "other", 15ms).has_value()); // Another service has its turn earlier.
+    REQUIRE_FALSE(bench.add("c", "s", 5ms, true).has_value()); // Statements of transactions go first.
 }
 
 // Guards against refusals or admissions by a service time that is no longer true.
