--- a/benchmark/ConnectionSharing.cpp
+++ b/benchmark/ConnectionSharing.cpp
@@ -27,10 +27,12 @@
     FixedShare,
     Borrowing,
     Holder,
-    HolderWithoutReserve // Holder with no class marked urgent; shows what the reserved slot costs.
+    HolderWithoutReserve, // Holder with no class marked urgent; shows what the reserved slot costs.
+    HolderOneAhead // The same with one statement more in flight than slots; shows what the round trip costs.
 };
 
-constexpr std::array wayNames { "fixed share", "borrowing", "holder", "holder, no reserved slot" };
+constexpr std::array wayNames { "fixed share", "borrowing", "holder", "holder, no reserved slot",
+    "holder, no reserve, one ahead" };
 
 struct ClassLoad {
     const char* name_;
@@ -129,7 +131,8 @@
             for (int i = 0; i < managers; ++i) {
                 const auto count = static_cast<std::size_t>(managers);
                 const auto share = shared / count + (static_cast<std::size_t>(i) < shared % count ? 1 : 0);
-                managers_.push_back(std::make_unique<Manager>(admission(isHolder() ? user.slots_ : share)));
+                managers_.push_back(std::make_unique<Manager>(
+                    admission(isHolder() ? user.slots_ + (way == Way::HolderOneAhead ? 1 : 0) : share)));
                 auto& manager = *managers_.back();
                 manager.endpoint_ = e;
                 manager.instance_ = isHolder() ? holderOf(e) : i;
@@ -190,7 +193,7 @@
         bool operator<(const Event& other) const { return std::tie(at_, number_) > std::tie(other.at_, other.number_); }
     };
 
-    bool isHolder() const { return way_ == Way::Holder || way_ == Way::HolderWithoutReserve; }
+    bool isHolder() const { return way_ != Way::FixedShare && way_ != Way::Borrowing; }
 
     static double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -204,7 +207,7 @@
         AdmissionSettings settings { slots, 1000, meanServiceTime, {} };
         for (const auto& load : user_.classes_)
             settings.classes_[ClassId(load.name_)]
-                = { load.weight_, load.urgent_ && way_ != Way::HolderWithoutReserve };
+                = { load.weight_, load.urgent_ && (way_ == Way::Holder || !isHolder()) };
         return settings;
     }
 
@@ -471,7 +474,8 @@
         std::printf(" hops | connects/s |\n|---|---|---|---|---|---|---|---|---|---|\n");
         for (const int instances : { 13, 17 }) {
             for (const double load : { 0.5, 1.0, 2.0, 4.0 }) {
-                for (const auto way : { Way::FixedShare, Way::Borrowing, Way::Holder, Way::HolderWithoutReserve }) {
+                for (const auto way :
+                    { Way::FixedShare, Way::Borrowing, Way::Holder, Way::HolderWithoutReserve, Way::HolderOneAhead }) {
                     Simulation simulation(user, instances, load, way);
                     simulation.run();
                     simulation.print(load);
