Count a write attempt as sent before it is forwarded, and confirm stored answers

Cause: the demo resent a key after a failover and was told not_run. The write's state machine was never told that the attempt had been sent, so at the deadline it took the attempt for not run; and the holder waited for a majority of the old term for an answer stored in it, which cannot come. Ruled out: the endpoint's answer, which was correct in its log.

--- a/daemon/request/HolderService.cpp
+++ b/daemon/request/HolderService.cpp
@@ -7,9 +7,14 @@
 
 namespace {
 
-    bool isWriteConfirmed(const GroupWatch& watch, const LogPosition& position)
+    /// Whether an answer that the primary of a term gave about a position is held by a majority. A position of an
+    /// earlier term comes before the first entry of the term, so any confirmed entry of the term confirms it.
+    bool isAnswerConfirmed(const GroupState& state, const LogPosition& position, Term term)
     {
-        return isConfirmed(watch.state(), position);
+        if (position.term_ >= term)
+            return isConfirmed(state, position);
+        const auto confirmed = lastConfirmed(state);
+        return confirmed && confirmed->term_ == term;
     }
 
     std::size_t indexOf(const GroupView& view, const EndpointId& endpoint)
@@ -254,19 +259,20 @@
     const TimePoint deadline = pending.deadline_;
     const LeaseOwner owner = ownerOf(pending);
     auto shared = std::make_shared<Pending>(std::move(pending));
-    endpoint->run(std::move(request), owner, deadline, term, [this, shared](ForwardReply reply) {
+    endpoint->run(std::move(request), owner, deadline, term, [this, shared, term](ForwardReply reply) {
         const ForwardOperation operation = shared->request_.operation_;
         const bool needsMajority = operation == ForwardOperation::Run || operation == ForwardOperation::Commit
             || operation == ForwardOperation::Lookup;
         if (reply.outcome_ == Outcome::Done && needsMajority)
-            confirm(std::move(*shared), std::move(reply));
+            confirm(std::move(*shared), term, std::move(reply));
         else
             answer(*shared, std::move(reply));
     });
 }
 
-void HolderService::confirm(Pending pending, ForwardReply reply)
+void HolderService::confirm(Pending pending, Term term, ForwardReply reply)
 {
+    pending.term_ = term;
     pending.stage_ = Stage::Confirmation;
     pending.result_ = std::move(reply);
     pending.answered_ = Clock::now();
@@ -277,13 +283,13 @@
 {
     const TimePoint now = Clock::now();
     const GroupWatch* watch = hooks_.groupWatch_(pending.request_.group_);
-    if (watch && isWriteConfirmed(*watch, pending.result_.position_)) {
+    if (watch && isAnswerConfirmed(watch->state(), pending.result_.position_, pending.term_)) {
         context_.metrics_.record(HistogramId::ConfirmTime, now - pending.answered_);
         answer(pending, std::move(pending.result_));
         return true;
     }
     // A newer term may or may not have kept the write; only a resend with its key can tell.
-    const bool replaced = watch && termOf(watch->state()) > pending.result_.position_.term_;
+    const bool replaced = watch && termOf(watch->state()) > std::max(pending.result_.position_.term_, pending.term_);
     if (watch && !replaced && now < pending.deadline_)
         return false;
     ForwardReply reply;
--- a/daemon/request/HolderService.h
+++ b/daemon/request/HolderService.h
@@ -40,6 +40,7 @@
         TimePoint deadline_;
         ForwardReply result_ {}; ///< Confirmation: the endpoint's answer.
         TimePoint answered_ {}; ///< Confirmation: when the endpoint answered.
+        Term term_ { 0 }; ///< Confirmation: the term that the endpoint answered in.
         std::optional<EventLoop::TimerId> timer_ {};
     };
     using PendingList = std::list<Pending>;
@@ -53,7 +54,7 @@
     void wait(Pending, TimePoint until);
     void runRead(Pending&, LogPosition required);
     void runWrite(Pending&, Term);
-    void confirm(Pending, ForwardReply);
+    void confirm(Pending, Term, ForwardReply);
     void refuse(Pending&, Reason, std::string detail = {});
     void answer(Pending&, ForwardReply);
     LeaseOwner ownerOf(const Pending&) const;
--- a/daemon/request/RequestRouter.cpp
+++ b/daemon/request/RequestRouter.cpp
@@ -296,7 +296,10 @@
         context_.loop_.cancel(*write->timer_);
     write->timer_.reset();
     if (const auto* runAt = std::get_if<WriteRunAt>(&action)) {
-        tryWrite(write, *runAt);
+        // From here on the holder may run the attempt, so it counts as sent until the holder says that it was not.
+        feed(write, WriteSent { runAt->attempt_ });
+        if (!write->state_.answered_)
+            tryWrite(write, *runAt);
         // The machine says when it wants to be woken only when it waits; the deadline holds in every state.
         if (!write->state_.answered_ && !write->timer_)
             write->timer_ = context_.loop_.schedule(write->deadline_, [this, write] {
@@ -346,7 +349,9 @@
             feed(write, WriteLookedUp { attempt, reply.repeatedKey_, reply.position_ });
         else
             feed(write, WriteAnswered { attempt, reply.position_ });
-        feed(write, WriteConfirmed { reply.position_ }); // The holder has waited for the majority.
+        // The holder has waited for the majority: of the entry itself, or for a stored answer of an earlier term, of an
+        // entry of the term that it ran in.
+        feed(write, WriteConfirmed { std::max(reply.position_, LogPosition { action.term_, 0 }) });
         return;
     case Outcome::NotRun:
         context_.metrics_.count(reply.reason_.value_or(Reason::RetryStaleRoute));
--- a/tests/GroupTermTest.cpp
+++ b/tests/GroupTermTest.cpp
@@ -169,8 +169,8 @@
     Watcher watcher;
     REQUIRE_FALSE(lastConfirmed(watcher.state_));
     watcher.warm();
-    watcher.set(a, MemberRole::Primary, 1, { 1, 9 });
-    watcher.set(b, MemberRole::Replica, 1, { 1, 7 });
+    watcher.set(a, EndpointRole::Primary, 1, { 1, 9 });
+    watcher.set(b, EndpointRole::Replica, 1, { 1, 7 });
     watcher.pass(0ms);
     REQUIRE(lastConfirmed(watcher.state_) == LogPosition { 1, 7 });
     watcher.feed(GroupConfigured { { { a, DataCentre("dc1") }, { c, DataCentre("dc3") } }, Watcher::watchers(true) });
