Shorten the runs of the request fault matrix

Ruled out: fewer cells. The time went into waiting 2.5 s of simulated time after each run; now a run ends 400 ms after its last fault, which itself is taken as the longest one (1.2 s), and events are no longer copied. The same cells run, and each wrong rule is found in the same cell as before.

--- a/tests/RequestMatrixTest.cpp
+++ b/tests/RequestMatrixTest.cpp
@@ -246,12 +246,12 @@
             for (int c = 0; c < callerCount; ++c)
                 nextOperation(c);
         });
-        constexpr Duration settle = 2500ms; // Outlasts each fault, a promotion and the late messages.
+        constexpr Duration settle = 400ms; // After the faults: late messages arrive and the replicas catch up.
         std::optional<TimePoint> end;
         while (!events_.empty()) {
             const auto event = events_.top();
             events_.pop();
-            now_ = event.at_;
+            now_ = event->at_;
             if (!end && now_ > start + 40s)
                 violations_.insert("callers without an answer");
             const auto isOver = !end
@@ -259,12 +259,12 @@
                        return caller.at_ >= caller.script_.size();
                    }));
             if (isOver) {
-                end = now_ + settle;
+                end = std::max(now_, faultsEnd_) + settle;
                 countsSteps_ = false;
             }
             if (end && now_ > *end)
                 break;
-            event.run_();
+            event->run_();
         }
         checkLog();
         return violations_;
@@ -277,12 +277,18 @@
         TimePoint at_;
         std::uint64_t number_;
         std::function<void()> run_;
-        bool operator<(const Event& other) const { return std::tie(at_, number_) > std::tie(other.at_, other.number_); }
+    };
+
+    struct Later {
+        bool operator()(const std::shared_ptr<const Event>& a, const std::shared_ptr<const Event>& b) const
+        {
+            return std::tie(a->at_, a->number_) > std::tie(b->at_, b->number_);
+        }
     };
 
     void at(Duration delay, std::function<void()> run)
     {
-        events_.push({ now_ + delay, ++eventNumber_, std::move(run) });
+        events_.push(std::make_shared<const Event>(Event { now_ + delay, ++eventNumber_, std::move(run) }));
     }
 
     // --- Messages and faults ---
@@ -295,6 +301,7 @@
             for (const auto& injection : injections_) {
                 if (injection.step_ != step)
                     continue;
+                faultsEnd_ = now_ + 1200ms; // The longest fault.
                 switch (injection.fault_) {
                 case Fault::Lose:
                     return;
@@ -336,23 +343,26 @@
         if (now_ < cutUntil_[from][to])
             return;
         const auto epoch = epochs_[to];
-        const auto arrive = [=, this] { arriveAt(from, to, connection, epoch, deliver); };
+        const auto message = std::make_shared<const std::function<void()>>(std::move(deliver));
+        const auto arrive = [=, this] { arriveAt(from, to, connection, epoch, message); };
         at(delay, arrive);
         if (repeat)
             at(delay + 5ms, arrive);
     }
 
-    void arriveAt(int from, int to, int connection, int epoch, const std::function<void()>& deliver)
+    using Message = std::shared_ptr<const std::function<void()>>;
+
+    void arriveAt(int from, int to, int connection, int epoch, const Message& message)
     {
         if (now_ < cutUntil_[from][to] || !alive_[to])
             return;
         if (now_ < frozenUntil_[to]) {
-            at(frozenUntil_[to] - now_, [=, this] { arriveAt(from, to, connection, epoch, deliver); });
+            at(frozenUntil_[to] - now_, [=, this] { arriveAt(from, to, connection, epoch, message); });
             return;
         }
         if (connection >= 0 && (connections_[connection].silent_ || epochs_[to] != epoch))
             return;
-        deliver();
+        (*message)();
     }
 
     void crash(int node, Duration down)
@@ -1158,8 +1168,9 @@
     Rule rule_;
     bool keysStored_;
     TimePoint now_ { start };
-    std::priority_queue<Event> events_;
+    std::priority_queue<std::shared_ptr<const Event>, std::vector<std::shared_ptr<const Event>>, Later> events_;
     std::uint64_t eventNumber_ { 0 };
+    TimePoint faultsEnd_ { start };
     std::size_t steps_ { 0 };
     bool countsSteps_ { true };
     std::array<std::array<TimePoint, nodeCount>, nodeCount> cutUntil_ {};
