--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -447,8 +447,8 @@
 
     std::vector<std::size_t> bucketsToRepair(const MembershipState& state, const MembershipMessage& message)
     {
-        Digest theirs;
-        std::copy(message.digest_.begin(), message.digest_.end(), theirs.begin());
+        Digest theirs {};
+        std::copy_n(message.digest_.begin(), std::min(message.digest_.size(), theirs.size()), theirs.begin());
         return differingBuckets(state.directory_.digest_, theirs);
     }
 
