--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -104,7 +104,7 @@
 
 /// The messages between control members, and between instances and control members.
 
-/// Sent by a member that has no configuration or is not in it, and sent back in answer.
+/// Sent by a member that has no configuration, is not in it, or hears no leader; and sent back in answer.
 struct ControlHello {
     bool founded_ { false }; ///< The sender has a configuration.
     bool answerWanted_ { false };
@@ -213,7 +213,6 @@
     bool refusePendingOnStepDown_ { false };
     bool forgetKeys_ { false };
     bool readWithoutRound_ { false };
-    bool voteTwice_ { false };
 };
 
 struct ControlLogOptions {
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -378,9 +378,10 @@
             // An entry of an older term can still be replaced until an entry of the own term is committed after it.
             if (termAt(state.stored_, index) != state.stored_.promise_.term_)
                 break;
-            const bool held = hasMajority(*state.configuration_, [&](const std::string& identity) {
-                return identity == state.identity_ || state.progress_.at(identity).match_ >= index;
-            });
+            const bool held = state.options_.wrongRules_.applyUncommitted_
+                || hasMajority(*state.configuration_, [&](const std::string& identity) {
+                       return identity == state.identity_ || state.progress_.at(identity).match_ >= index;
+                   });
             if (!held)
                 continue;
             state.commit_ = index;
@@ -497,7 +498,10 @@
         auto& state = step.state_;
         if (!state.configuration_)
             foundIfPossible(step);
-        if ((state.configuration_ && isMember(*state.configuration_, state.identity_)) || step.now_ < state.nextHello_)
+        // A member that was removed while it was away does not know it, but hears no leader.
+        const bool isInPlace
+            = state.configuration_ && isMember(*state.configuration_, state.identity_) && followsLeader(step);
+        if (isInPlace || step.now_ < state.nextHello_)
             return;
         state.nextHello_ = step.now_ + state.options_.helloInterval_;
         for (const auto& instance : state.listed_) {
@@ -635,6 +639,9 @@
             std::erase_if(next.members_, isOf);
             if (voterCount(next) == 0)
                 return refuse(Reason::SettingsInvalid, "the last voting control member cannot be removed");
+            // The change could not be committed, and nothing after it.
+            if (!hasMajority(next, [&](const std::string& identity) { return isAlive(step, identity); }))
+                return refuse(Reason::NoControlMajority, "too few of the remaining control members are reachable");
         }
         propose(step, std::move(next), origin);
     }
@@ -770,8 +777,7 @@
         if (message.term_ > state.stored_.promise_.term_)
             becomeFollower(step, message.term_);
         const auto promise = state.stored_.promise_;
-        const bool isFree = promise.vote_.empty() || promise.vote_ == message.senderIdentity_
-            || state.options_.wrongRules_.voteTwice_;
+        const bool isFree = promise.vote_.empty() || promise.vote_ == message.senderIdentity_;
         const bool granted = message.term_ == promise.term_ && isFree && request.last_ >= lastPosition(state.stored_);
         if (granted) {
             if (promise.vote_ != message.senderIdentity_)
