--- a/src/version/ControlStorage.cpp
+++ b/src/version/ControlStorage.cpp
@@ -370,6 +370,12 @@
 leaf::result<void> persistControl(ControlStorage& storage, const PersistAction& action, const ControlStored& after)
 {
     const auto journal = storage.folder_ / journalName;
+    // Writes to a file that somebody removed succeed, but nothing of them is left at the next start.
+    struct stat status { };
+    if (::fstat(storage.journal_.get(), &status) != 0)
+        return failed(journal, "fstat");
+    if (status.st_nlink == 0)
+        return leaf::new_error(Failure { Reason::StorageFailed, journal.string() + ": the file was removed" });
     ++storage.syncs_;
     if (!action.snapshot_)
         return writeAndSync(journal, storage.journal_.get(), makeRecord(encodeControlRecord(action)));
