Run control members and take group member lists and settings from them

Cause: settings could not be changed, and member lists came from whatever was announced first, which two watchers could see differently. Ruled out: sending changes to the leader only; any member passes them on. Before: no control state.

--- a/daemon/process/ControlCommand.cpp
+++ b/daemon/process/ControlCommand.cpp
@@ -156,6 +156,9 @@
                      "  set PATH [NAME VALUE]           set a setting, or create a node\n"
                      "  unset PATH [NAME]               unset a setting, or remove a node\n"
                      "  endpoints | groups | instances  list them\n"
+                     "  control                         show the control member of this instance\n"
+                     "  add-member INSTANCE             admit a control member; it needs an empty data folder\n"
+                     "  remove-member INSTANCE          remove a control member\n"
                      "  metrics | ready                 show counters; show readiness\n"
                      "  drain-endpoint ENDPOINT         give an endpoint no new work\n"
                      "  drain-instance INSTANCE [off]   move the endpoints that this instance holds elsewhere\n"
@@ -172,7 +175,7 @@
     const std::size_t arguments = words.empty() ? 0 : words.size() - 1;
     if (arguments == 0
         && (command == "settings" || command == "endpoints" || command == "groups" || command == "instances"
-            || command == "metrics" || command == "ready"))
+            || command == "metrics" || command == "ready" || command == "control"))
         return show("/v1/" + command);
     if (command == "set" && arguments == 1)
         return changeSettings({ { "op", "set" }, { "path", words[1] } });
@@ -186,6 +189,8 @@
         return post("/v1/drain", { { "endpoint", words[1] } }, "");
     if (command == "drain-instance" && arguments >= 1 && arguments <= 2)
         return post("/v1/drain", { { "instance", words[1] }, { "draining", arguments == 1 || words[2] != "off" } }, "");
+    if ((command == "add-member" || command == "remove-member") && arguments == 1)
+        return post("/v1/control", { { "instance", words[1] }, { "add", command == "add-member" } }, "");
     if (command == "primary" && arguments == 2)
         return post("/v1/primary", { { "group", words[1] }, { "endpoint", words[2] } }, "");
     return usage();
--- a/daemon/process/OperatorApi.cpp
+++ b/daemon/process/OperatorApi.cpp
@@ -82,6 +82,8 @@
         connection->reply({ 200, endpointsJson() + "\n" });
     } else if (request.path_ == "/v1/groups") {
         connection->reply({ 200, groupsJson() + "\n" });
+    } else if (request.path_ == "/v1/control") {
+        connection->reply({ 200, controlJson() + "\n" });
     } else if (request.path_ == "/v1/instances") {
         connection->reply({ 200, instancesJson() + "\n" });
     } else {
@@ -97,6 +99,8 @@
         drain(connection, request);
     else if (request.path_ == "/v1/primary")
         changePrimary(connection, request);
+    else if (request.path_ == "/v1/control")
+        changeMember(connection, request);
     else
         refuse(connection, 404, Reason::MalformedRequest, "no such path: " + request.path_);
 }
@@ -122,12 +126,40 @@
         refuse(connection, 400, Reason::SettingsInvalid, problem);
         return;
     }
-    hooks_.change_(
-        { body["key"].get<std::string>(), std::move(change) }, [this, connection](const ChangeOutcome& outcome) {
-            if (outcome.reason_)
-                context_.metrics_.count(*outcome.reason_);
-            connection->reply({ statusOf(outcome), changeOutcomeToJson(outcome) + "\n" });
-        });
+    submit(connection, ControlChange { body["key"].get<std::string>(), std::move(change) });
+}
+
+void OperatorApi::submit(const HttpConnectionPtr& connection, ControlRequest request)
+{
+    hooks_.submit_(std::move(request), [this, connection](const ChangeOutcome& outcome) {
+        if (outcome.reason_)
+            context_.metrics_.count(*outcome.reason_);
+        connection->reply({ statusOf(outcome), changeOutcomeToJson(outcome) + "\n" });
+    });
+}
+
+void OperatorApi::changeMember(const HttpConnectionPtr& connection, const HttpRequest& request)
+{
+    const json body = json::parse(request.body_, nullptr, false);
+    const bool valid = body.is_object() && body.contains("instance") && body["instance"].is_string()
+        && body.contains("add") && body["add"].is_boolean();
+    if (!valid) {
+        refuse(connection, 400, Reason::MalformedRequest, "name an instance, and add as true or false");
+        return;
+    }
+    submit(
+        connection, ControlMemberChange { body["add"].get<bool>(), InstanceId(body["instance"].get<std::string>()) });
+}
+
+std::string OperatorApi::controlJson() const
+{
+    static constexpr std::array<std::string_view, 4> roles { "follower", "pre_candidate", "candidate", "leader" };
+    const ControlStatus& status = hooks_.controlStatus_();
+    json object { { "role", roles[static_cast<std::size_t>(status.role_)] }, { "term", status.term_ },
+        { "leader", status.leader_.value_ }, { "members", json::array() } };
+    for (const auto& member : status.members_)
+        object["members"].push_back({ { "instance", member.instance_.value_ }, { "voter", member.voter_ } });
+    return object.dump();
 }
 
 void OperatorApi::drain(const HttpConnectionPtr& connection, const HttpRequest& request)
--- a/daemon/process/OperatorApi.h
+++ b/daemon/process/OperatorApi.h
@@ -3,6 +3,7 @@
 #include "cassiahollow/version/ControlState.h"
 #include "connection/HttpListener.h"
 #include "process/ServeContext.h"
+#include "version/ControlTask.h"
 #include "version/GroupWatch.h"
 
 namespace cassiahollow {
@@ -15,8 +16,10 @@
     /// Returns false if this instance does not watch the group.
     std::function<bool(const GroupId&, const EndpointId& preferred)> changePrimary_;
     std::function<const GroupWatch*(const GroupId&)> groupWatch_;
-    /// Sends a change to the control members; the handler is called once.
-    std::function<void(ControlChange, std::function<void(ChangeOutcome)>)> change_;
+    /// Sends a request to the control members; the handler is called once.
+    std::function<void(ControlRequest, std::function<void(ChangeOutcome)>)> submit_;
+    /// The state of the control member of this instance; empty if it is none.
+    std::function<const ControlStatus&()> controlStatus_;
 };
 
 /// The listener for operators and for the platform's balancer. Documented in docs/operators.md.
@@ -33,6 +36,9 @@
     void drain(const HttpConnectionPtr&, const HttpRequest&);
     void changePrimary(const HttpConnectionPtr&, const HttpRequest&);
     void refuse(const HttpConnectionPtr&, int status, Reason, const std::string& detail);
+    void submit(const HttpConnectionPtr&, ControlRequest);
+    void changeMember(const HttpConnectionPtr&, const HttpRequest&);
+    std::string controlJson() const;
     std::string endpointsJson() const;
     std::string groupsJson() const;
     std::string instancesJson() const;
--- a/daemon/process/ServeTask.h
+++ b/daemon/process/ServeTask.h
@@ -6,6 +6,7 @@
 #include "process/OperatorApi.h"
 #include "process/PeerTask.h"
 #include "request/RequestRouter.h"
+#include "version/ControlClient.h"
 
 #include <set>
 #include <variant>
@@ -15,8 +16,29 @@
 /// SIGTERM or SIGINT arrived.
 struct ShutdownSignal { };
 
+/// What the control task of this instance reports.
+struct ControlSend {
+    InstanceId recipient_;
+    std::string body_;
+};
+struct ControlSettings {
+    std::shared_ptr<const SettingsTree> tree_;
+};
+struct ControlGroup {
+    GroupId group_;
+    GroupMembers members_;
+};
+struct ControlAnswered {
+    std::uint64_t token_ { 0 };
+    ChangeOutcome outcome_;
+};
+struct ControlFailed {
+    Failure failure_;
+};
+
 /// What other threads send to the serve task.
-using ServeMessage = std::variant<PeerMessage, ShutdownSignal>;
+using ServeMessage = std::variant<PeerMessage, ShutdownSignal, ControlSend, ControlSettings, ControlGroup,
+    ControlAnswered, ControlStatus, ControlFailed>;
 
 /// The main task of a process: owns the event loop, the listeners, the endpoints and groups that this instance holds,
 /// and the membership. Runs on the thread that calls run().
@@ -35,8 +57,19 @@
     void post(ServeMessage);
 
 private:
+    std::unique_ptr<ControlTask> makeControlTask(const SettingsTree& startTree);
     void takeMessages();
     void receive(PeerMessage&);
+    void receive(const ShutdownSignal&);
+    void receive(const ControlSend&);
+    void receive(const ControlSettings&);
+    void receive(const ControlGroup&);
+    void receive(const ControlAnswered&);
+    void receive(const ControlStatus&);
+    void receive(const ControlFailed&);
+    void receiveControl(PeerMessage&);
+    std::string controlAddress(const InstanceId&) const;
+    void proposeGroups();
     void receiveForward(const PeerMessage&);
     void receiveVote(const PeerMessage&);
     bool isStale(const PeerMessage&);
@@ -73,6 +106,10 @@
     ServeContext context_;
     Mailbox<ServeMessage> inbox_;
     PeerTask peers_;
+    std::unique_ptr<ControlTask> control_; ///< Null unless this instance is a control member.
+    ControlClient controlClient_;
+    ControlStatus controlStatus_;
+    std::set<GroupId> proposedGroups_; ///< Member lists that this leader has proposed and not seen decided.
     std::map<EndpointId, std::unique_ptr<HeldEndpoint>> held_;
     struct Watched {
         std::unique_ptr<GroupWatch> watch_;
