Replace a primary that is leaving by a planned change

Cause: a primary that shut down or was drained was only replaced after it had gone, by a failover. Before: a failover. Reads are no longer given to a replica that an operator drains.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -533,8 +533,33 @@
         watched->second.watch_->receiveVote(*vote);
 }
 
+void ServeTask::replaceLeavingPrimaries()
+{
+    const DirectoryState& directory = membership_.directory_;
+    for (auto& [group, watched] : watched_) {
+        const auto primary = primaryOf(watched.watch_->state());
+        const auto held = primary ? held_.find(*primary) : held_.end();
+        if (held == held_.end() || !held->second->isHolder() || watched.watch_->state().change_)
+            continue;
+        const MemberView* best = nullptr;
+        bool primaryLeaves = isLeaving(directory, *primary);
+        for (const auto& member : watched.watch_->view().members_) {
+            if (member.endpoint_ == *primary)
+                primaryLeaves = primaryLeaves || member.leaving_;
+            else if (!member.leaving_ && !isLeaving(directory, member.endpoint_)
+                && (!best || member.position_ > best->position_))
+                best = &member;
+        }
+        if (primaryLeaves && best) {
+            logInfo("group " + group.value_ + ": primary " + primary->value_ + " is leaving");
+            watched.watch_->orderChange(EndpointId(best->endpoint_));
+        }
+    }
+}
+
 void ServeTask::housekeep()
 {
+    replaceLeavingPrimaries();
     for (auto entry = held_.begin(); entry != held_.end();) {
         const bool finished = !entry->second->isHolder() && entry->second->isIdle();
         entry = finished ? held_.erase(entry) : std::next(entry);
--- a/daemon/process/ServeTask.h
+++ b/daemon/process/ServeTask.h
@@ -90,6 +90,8 @@
     std::string addressOf(const EndpointId&) const;
     void sendVote(const GroupVote&);
     void applyTree(const SettingsTree&, bool publish);
+    /// Orders a planned change of primary for each group whose primary is leaving and held here.
+    void replaceLeavingPrimaries();
     void housekeep();
 
     void beginShutdown();
--- a/daemon/request/HolderService.cpp
+++ b/daemon/request/HolderService.cpp
@@ -148,6 +148,10 @@
     }
     const TimePoint now = Clock::now();
     const bool isPrimary = watch->view().primary_ == request.endpoint_;
+    if (!isPrimary && isLeaving(context_.membership_.directory_, request.endpoint_)) {
+        refuse(pending, Reason::EndpointLeaving);
+        return true;
+    }
     if (request.finalChoice_ && !isPrimary) {
         runRead(pending, request.required_); // The endpoint itself checks the position.
         return true;
