Silence the null pointer check for log positions too

Ruled out: another comparison (the default one is right). Before: an error in three files of the request modules. After: clang-tidy is clean on all files of the request and connection modules. Conclusion: the exception is as narrow as the one for Name.

--- a/include/cassiahollow/process/Types.h
+++ b/include/cassiahollow/process/Types.h
@@ -60,7 +60,7 @@
     Term term_ { 0 };
     std::uint64_t index_ { 0 };
 
-    auto operator<=>(const LogPosition&) const = default;
+    auto operator<=>(const LogPosition&) const = default; // NOLINT(modernize-use-nullptr): see Name.
 };
 
 inline std::ostream& operator<<(std::ostream& stream, const LogPosition& position)
