Make the control tests pass the linter

Cause: clang-tidy reported a use after a move inside a test macro and comparisons with an empty list. No check changes.

--- a/tests/ControlMatrixTest.cpp
+++ b/tests/ControlMatrixTest.cpp
@@ -396,7 +396,8 @@
     std::size_t beyond = 0;
     for (std::size_t i = 0; i < cells.size(); ++i) {
         INFO(describe(cells[i].scenario_, cells[i].injections_, cells[i].seed_));
-        REQUIRE(results[i].violations_ == std::vector<std::string> {});
+        CAPTURE(results[i].violations_);
+        REQUIRE(results[i].violations_.empty());
         beyond += results[i].isBeyondGuarantee_ ? 1 : 0;
     }
     std::cout << name << ": " << cells.size() << " cells, " << std::size_t(double(cells.size()) / time.count())
@@ -441,7 +442,8 @@
     for (const auto& scenario : scenarios) {
         INFO(scenario.name_);
         const auto plain = run(scenario, {});
-        REQUIRE(plain.violations_ == std::vector<std::string> {});
+        CAPTURE(plain.violations_);
+        REQUIRE(plain.violations_.empty());
         const auto first = scenario.stride_ == 7 ? plain.steps_ / 2 : 1; // Skips the bulk of the hundreds of changes.
         for (auto step = first; step <= plain.steps_; step += scenario.stride_ * thinning) {
             for (std::size_t fault = 0; fault < faultCount; ++fault)
--- a/tests/ControlTaskTest.cpp
+++ b/tests/ControlTaskTest.cpp
@@ -109,7 +109,8 @@
     ChangeOutcome ask(const InstanceId& instance, ControlRequest request)
     {
         const auto token = ++token_;
-        REQUIRE(post(instance, LocalRequest { token, std::move(request) }));
+        const bool isPosted = post(instance, LocalRequest { token, std::move(request) });
+        REQUIRE(isPosted);
         REQUIRE(wait([&](Tasks& tasks) { return tasks.outcomes_.contains(token); }));
         const std::lock_guard lock(notes_);
         return outcomes_[token];
