Run one statement more than slots, close refused transactions, drop repeated forwards

Cause: three findings of the request matrix and the sharing benchmark. A refused step inside a transaction left the transaction open at the endpoint while its connection went back to the pool; a repeated forward could answer not run while the first copy ran; and slots idled during the round trip, while a reserved slot of two cost 28 points of capacity. Ruled out: reserving at 2 and 3 slots (10 to 13 ms off the urgent tail).

--- a/benchmark/Load.cpp
+++ b/benchmark/Load.cpp
@@ -291,7 +291,9 @@
         body["session"] = session.token_;
     if (isRead && settings.maxAge_)
         body["max_age_ms"] = *settings.maxAge_;
-    if (!isRead)
+    if (isRead)
+        body["read_only"] = true;
+    else
         body["key"] = id;
     return body.dump();
 }
--- a/daemon/connection/HeldEndpoint.cpp
+++ b/daemon/connection/HeldEndpoint.cpp
@@ -11,6 +11,14 @@
     // An endpoint that has not answered a statement for this long is asked again on a new connection, since the old
     // one may have gone silent. Statements are safe to send again: reads have no effect and writes carry a key.
     constexpr std::chrono::milliseconds statementSilence { 1000 };
+    constexpr int runTimeSmoothing = 16;
+
+    // One statement more than the endpoint has slots keeps a slot from idling during the round trip: 8 points more of
+    // the capacity in docs/measurements/connection-sharing.md.
+    constexpr std::size_t extraInFlight = 1;
+    // A reserved slot of 2 or 3 cost 28 or 13 points of the capacity and took only 10 to 13 ms off the tail of urgent
+    // requests (same page), so one is reserved only where it is at most an eighth of the slots.
+    constexpr std::size_t slotsToReserveOne = 8;
 
     LogPosition noPosition()
     {
@@ -58,13 +66,14 @@
 AdmissionSettings HeldEndpoint::admissionSettings() const
 {
     AdmissionSettings settings;
-    settings.slots_ = std::max<std::size_t>(record_.slots_, 1);
+    const std::size_t slots = std::max<std::size_t>(record_.slots_, 1);
+    settings.slots_ = slots + extraInFlight;
     settings.maximumLength_ = context_.settings_.limits_.maxQueuedRequests_;
     for (const auto& service : servicesOf(context_.tree_)) {
         for (const auto& requestClass : classesOf(context_.tree_, service)) {
             if (const auto known = classSettings(context_.tree_, service, requestClass))
-                settings.classes_[requestClass]
-                    = { static_cast<double>(std::max<std::int64_t>(known->weight_, 1)), known->urgent_ };
+                settings.classes_[requestClass] = { static_cast<double>(std::max<std::int64_t>(known->weight_, 1)),
+                    known->urgent_ && slots >= slotsToReserveOne };
         }
     }
     return settings;
@@ -107,7 +116,8 @@
     job->enqueued_ = Clock::now();
     job->item_.class_ = job->request_.class_;
     job->item_.service_ = job->request_.service_;
-    job->item_.deadline_ = deadline;
+    // The latest useful start: what starts later than this would be answered after the caller's deadline.
+    job->item_.deadline_ = deadline - expectedRunTime_;
     job->item_.id_ = ++lastJob_;
     jobs_[job->item_.id_] = job;
     if (isTransactionStep(job->request_.operation_)) {
@@ -153,7 +163,9 @@
             if (const auto found = jobs_.find(item->id_); found != jobs_.end())
                 start(JobPtr(found->second));
         }
-        perform(setWanted(pool_, queue_.waiting_, now));
+        // More connections than free slots would not start anything sooner.
+        const std::size_t freeSlots = queue_.settings_.slots_ - std::min(queue_.running_, queue_.settings_.slots_);
+        perform(setWanted(pool_, std::min(queue_.waiting_, freeSlots), now));
     } while (pumpAgain_);
     pumping_ = false;
     armTimer();
@@ -297,14 +309,15 @@
     reply(job, std::move(answer));
 }
 
-void HeldEndpoint::finishJob(const JobPtr& job, bool transactionOpen)
+void HeldEndpoint::finishJob(const JobPtr& job, bool transactionOpen, bool refusedInTransaction)
 {
     const TimePoint now = Clock::now();
     jobs_.erase(job->item_.id_);
     if (job->item_.state_ == AdmissionItem::State::Running)
         finished(queue_, job->item_, now);
     stopSilenceTimer(job);
-    statementFinished(pool_, job->lease_, transactionOpen, now);
+    // A refused step may have left the transaction open at the endpoint, so the pool has to close the connection.
+    statementFinished(pool_, job->lease_, transactionOpen || refusedInTransaction, now);
     const std::string& transaction = job->request_.transaction_;
     if (transactionOpen && !job->replied_) {
         transactions_[transaction] = { job->lease_, job->owner_, job->term_ };
@@ -355,11 +368,14 @@
         abandonConnection(number, Reason::AnswerMismatched);
         return;
     }
-    context_.metrics_.record(HistogramId::RunTime, Clock::now() - connection.sent_);
+    const Duration runTime = Clock::now() - connection.sent_;
+    context_.metrics_.record(HistogramId::RunTime, runTime);
+    expectedRunTime_ += (runTime - expectedRunTime_) / runTimeSmoothing;
     const ForwardOperation operation = job->request_.operation_;
     ForwardReply reply;
     reply.wasSent_ = true;
     bool transactionOpen = operation == ForwardOperation::Begin || operation == ForwardOperation::RunInTransaction;
+    bool refusedInTransaction = false;
     if (const auto* done = std::get_if<DoneAnswer>(&answer.result_)) {
         reply.outcome_ = Outcome::Done;
         reply.answers_ = done->answers_;
@@ -378,7 +394,8 @@
         reply.reason_ = reasonOfRefusal(refusal->reason_);
         reply.detail_ = refusal->detail_;
         reply.routeTerm_ = refusal->promisedTerm_;
-        // A statement that failed leaves the transaction open; anything else has ended it.
+        refusedInTransaction = operation != ForwardOperation::Run && operation != ForwardOperation::Lookup;
+        // The caller may go on after a statement that failed; after any other refusal the transaction is given up.
         transactionOpen
             = operation == ForwardOperation::RunInTransaction && refusal->reason_ == EndpointRefusal::StatementFailed;
     } else {
@@ -386,7 +403,7 @@
         abandonConnection(number, Reason::AnswerMismatched);
         return;
     }
-    finishJob(job, transactionOpen);
+    finishJob(job, transactionOpen, refusedInTransaction);
     this->reply(job, std::move(reply));
     pump();
 }
--- a/daemon/connection/HeldEndpoint.h
+++ b/daemon/connection/HeldEndpoint.h
@@ -82,7 +82,7 @@
     void refuse(const JobPtr&, Reason, std::string detail = {});
     void loseJob(const JobPtr&, Reason);
     void stopSilenceTimer(const JobPtr&);
-    void finishJob(const JobPtr&, bool transactionOpen);
+    void finishJob(const JobPtr&, bool transactionOpen, bool refusedInTransaction);
     void receive(ConnectionNumber, const std::string& text);
     void receiveAnswer(ConnectionNumber, Connection&, const EndpointAnswer&);
     void channelClosed(ConnectionNumber);
@@ -102,6 +102,7 @@
     std::map<std::uint64_t, JobPtr> jobs_;
     std::map<std::string, Transaction> transactions_;
     std::uint64_t lastJob_ { 0 };
+    Duration expectedRunTime_ {}; ///< Mean time from sending a statement to its answer.
     std::optional<EventLoop::TimerId> timer_;
     bool pumping_ { false };
     bool pumpAgain_ { false };
--- a/daemon/process/Serve.cpp
+++ b/daemon/process/Serve.cpp
@@ -87,6 +87,7 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    unsetenv("http_proxy"); // libwebsockets would open connections to endpoints through it.
     ServeTask task(loaded->settings_, loaded->tree_, newIncarnation());
     const bool started = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -15,6 +15,8 @@
     // Changes of several records usually come in one message, so groups are looked at once after a short pause.
     constexpr std::chrono::milliseconds refreshDelay { 2 };
     constexpr std::chrono::milliseconds housekeepInterval { 1000 };
+    // Repeats of a message follow it closely; this many requests of one instance arrive within about a second.
+    constexpr std::size_t recentRequestsKept = 4096;
     constexpr std::chrono::milliseconds drainPoll { 20 };
     // How long an instance without control members in reach waits for peers before it reports ready.
     constexpr std::chrono::seconds readyWithoutPeers { 5 };
@@ -294,6 +296,19 @@
     }
 }
 
+bool ServeTask::isRepeated(const InstanceId& sender, std::uint64_t number)
+{
+    RecentRequests& recent = recentRequests_[sender];
+    if (!recent.numbers_.insert(number).second)
+        return true;
+    recent.order_.push_back(number);
+    if (recent.order_.size() > recentRequestsKept) {
+        recent.numbers_.erase(recent.order_.front());
+        recent.order_.pop_front();
+    }
+    return false;
+}
+
 void ServeTask::receiveForward(const PeerMessage& message)
 {
     auto decoded = decodeForward(message.body_);
@@ -302,6 +317,10 @@
         return;
     }
     if (auto* request = std::get_if<ForwardRequest>(&*decoded)) {
+        if (isRepeated(message.sender_, request->number_)) {
+            metrics_.count(Reason::MessageRepeated);
+            return;
+        }
         const std::string address = message.senderAddress_;
         holderService_.serve(std::move(*request), message.sender_, [this, address](ForwardReply reply) {
             peers_.send(address, PeerMessageKind::Forward, encodeForward(ForwardMessage(std::move(reply))));
--- a/daemon/process/ServeTask.h
+++ b/daemon/process/ServeTask.h
@@ -8,7 +8,9 @@
 #include "request/RequestRouter.h"
 #include "version/ControlClient.h"
 
+#include <deque>
 #include <set>
+#include <unordered_set>
 #include <variant>
 
 namespace cassiahollow {
@@ -73,6 +75,8 @@
     void receiveForward(const PeerMessage&);
     void receiveVote(const PeerMessage&);
     bool isStale(const PeerMessage&);
+    /// Whether a forwarded request arrived before. A repeat that ran beside the first could answer "not run" falsely.
+    bool isRepeated(const InstanceId& sender, std::uint64_t number);
 
     void feed(const MembershipEvent&);
     void perform(const SendMembershipMessage&);
@@ -124,6 +128,11 @@
     CallerApi callers_;
     PlatformApi platform_;
     OperatorApi operators_;
+    struct RecentRequests {
+        std::unordered_set<std::uint64_t> numbers_;
+        std::deque<std::uint64_t> order_;
+    };
+    std::map<InstanceId, RecentRequests> recentRequests_;
     std::map<InstanceId, Incarnation> newestIncarnations_;
     std::map<EndpointId, std::string> lastAddresses_;
     std::uint64_t lastGroupState_ { 0 };
--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -56,6 +56,7 @@
     MessageUnauthentic,
     MessageStaleIncarnation,
     MessageQueueFull,
+    MessageRepeated,
     AnswerMismatched,
     EndpointConnectFailed,
     EndpointConnectionLimit,
--- a/src/process/Reasons.cpp
+++ b/src/process/Reasons.cpp
@@ -68,6 +68,8 @@
             "none needed after a restart; else look for two instances with one id" },
         { Reason::MessageQueueFull, "message_queue_full", Outcome::NotRun,
             "look for an unreachable or overloaded instance" },
+        { Reason::MessageRepeated, "message_repeated", Outcome::NotRun,
+            "none needed; the first copy of the message is served" },
         { Reason::AnswerMismatched, "answer_mismatched", Outcome::Unknown, "none needed; the connection is replaced" },
         { Reason::EndpointConnectFailed, "endpoint_connect_failed", Outcome::NotRun,
             "check the endpoint and the network to it" },
