Let a stand-in announce the address of a relay

Tests put a fault relay in front of a database; instances and replicas then have to connect to the relay, while the listener stays on its own port.

--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -11,6 +11,7 @@
 DEFINE_string(group, "", "name of the replication group");
 DEFINE_string(data_centre, "", "name of the data centre");
 DEFINE_string(listen, "127.0.0.1:7001", "ip:port of the WebSocket listener");
+DEFINE_string(address, "", "ip:port that is announced, if it is not that of the listener, such as that of a relay");
 DEFINE_string(announce, "", "platform listeners of instances, as ip:port separated by commas");
 DEFINE_string(credential, "", "bearer credential of announcements");
 DEFINE_uint32(slots, 2, "statements that run at once");
@@ -89,5 +90,5 @@
         FLAGS_listen.substr(0, colon), static_cast<std::uint16_t>(std::atoi(FLAGS_listen.c_str() + colon + 1)),
         splitList(FLAGS_announce), FLAGS_credential, FLAGS_slots, FLAGS_connections,
         std::chrono::milliseconds(FLAGS_connect_delay_ms), std::chrono::microseconds(FLAGS_service_time_us),
-        std::chrono::milliseconds(FLAGS_lag_ms), std::chrono::milliseconds(FLAGS_leave_delay_ms) });
+        std::chrono::milliseconds(FLAGS_lag_ms), std::chrono::milliseconds(FLAGS_leave_delay_ms), FLAGS_address });
 }
--- a/standin/Server.cpp
+++ b/standin/Server.cpp
@@ -561,10 +561,11 @@
     if (settings_.announceAddresses_.empty())
         return;
     const auto report = makeReport(database_);
-    announcer_.body_ = encodeEndpointAnnouncement(
-        { settings_.id_, settings_.group_, settings_.listenAddress_ + ':' + std::to_string(settings_.port_),
-            settings_.dataCentre_, settings_.slots_, settings_.connections_, report.role_, report.promisedTerm_,
-            report.leaving_, announcer_.started_, ++announcer_.sequence_ });
+    announcer_.body_ = encodeEndpointAnnouncement({ settings_.id_, settings_.group_,
+        settings_.announcedAddress_.empty() ? settings_.listenAddress_ + ':' + std::to_string(settings_.port_)
+                                            : settings_.announcedAddress_,
+        settings_.dataCentre_, settings_.slots_, settings_.connections_, report.role_, report.promisedTerm_,
+        report.leaving_, announcer_.started_, ++announcer_.sequence_ });
     announcer_.attempts_ = settings_.announceAddresses_.size();
     const auto sequence = announcer_.sequence_;
     at(Clock::now() + announceInterval, [this, sequence] {
--- a/standin/Server.h
+++ b/standin/Server.h
@@ -33,6 +33,7 @@
     std::chrono::microseconds serviceTime_ { 0 }; ///< Time that a statement holds its slot.
     std::chrono::microseconds lag_ { 0 }; ///< From the receipt of entries to their use by a replica.
     std::chrono::milliseconds leaveDelay_ { 3'000 }; ///< Shortest time between SIGTERM and the exit.
+    std::string announcedAddress_; ///< "ip:port" for others to connect to; empty for that of the listener.
 };
 
 /// Serves a database to instances and replicas, and announces it. One thread calls run(), which owns all sockets.
