--- a/daemon/process/PeerTask.cpp
+++ b/daemon/process/PeerTask.cpp
@@ -31,6 +31,7 @@
 
 PeerTask::PeerTask(PeerTaskOptions options, Receive receive, Count count)
     : options_(std::move(options))
+    , incarnation_(options_.incarnation_)
     , receive_(std::move(receive))
     , count_(std::move(count))
     , sockets_(std::make_unique<Sockets>())
@@ -126,9 +127,8 @@
         }
     }
     sockets_->recentlyUsed_.splice(sockets_->recentlyUsed_.begin(), sockets_->recentlyUsed_, found->second.recent_);
-    const std::string bytes
-        = encodePeerMessage({ options_.self_, options_.incarnation_, options_.listenAddress_, kind, std::move(body) },
-            options_.deploymentKey_);
+    const std::string bytes = encodePeerMessage(
+        { options_.self_, incarnation_, options_.listenAddress_, kind, std::move(body) }, options_.deploymentKey_);
     nng_msg* message = nullptr;
     if (nng_msg_alloc(&message, bytes.size()) != 0) {
         count_(Reason::MessageQueueFull);
--- a/daemon/process/PeerTask.h
+++ b/daemon/process/PeerTask.h
@@ -38,6 +38,9 @@
     /// Sends to the peer listener at an address (ip:port). Delivery is not assured. Call on one thread only.
     void send(const std::string& address, PeerMessageKind, std::string body);
 
+    /// Raises the incarnation that messages carry. Call on the sending thread.
+    void setIncarnation(Incarnation incarnation) { incarnation_ = incarnation; }
+
     /// Closes the connection to a peer, if there is one, so that the next message opens a new one. For a peer that
     /// does not answer: its connection may have gone silent while a new one works.
     void reconnect(const std::string& address);
@@ -53,6 +56,7 @@
     static void received(void* self);
 
     const PeerTaskOptions options_;
+    Incarnation incarnation_;
     const Receive receive_;
     const Count count_;
     std::unique_ptr<Sockets> sockets_;
--- a/daemon/process/Serve.cpp
+++ b/daemon/process/Serve.cpp
@@ -3,6 +3,7 @@
 #include "process/ServeTask.h"
 
 #include <csignal>
+#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 #include <pthread.h>
 #include <sys/resource.h>
@@ -80,6 +81,7 @@
         return ExitUsage;
     startLog(loaded->settings_.logLevel_, loaded->settings_.instance_.value_);
     raiseFileLimit();
+    google::protobuf::SetLogHandler(nullptr); // Malformed messages are counted, not logged one by one.
     // Signals are taken by one thread, which posts them; no code runs in a signal handler.
     sigset_t signals;
     sigemptyset(&signals);
--- a/include/cassiahollow/process/PeerMessage.h
+++ b/include/cassiahollow/process/PeerMessage.h
@@ -26,8 +26,9 @@
     std::string body_; ///< One message of the schema that belongs to the kind.
 };
 
-/// The longest message that is sent or accepted, in bytes.
-inline constexpr std::size_t maxPeerMessageBytes = 4 << 20;
+/// The longest message that is sent or accepted, in bytes. A snapshot of the control state is one message; it is
+/// estimated at up to 4 MB with the 10,000 change keys that are kept.
+inline constexpr std::size_t maxPeerMessageBytes = 16 << 20;
 
 /// Serialises a message and prepends its HMAC-SHA256 under the deployment key.
 std::string encodePeerMessage(const PeerMessage&, std::string_view deploymentKey);
