--- a/tests/ReasonDocsTest.cpp
+++ b/tests/ReasonDocsTest.cpp
@@ -1,4 +1,5 @@
 #include "cassiahollow/process/Metrics.h"
+#include "cassiahollow/version/SettingsTree.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -102,3 +103,20 @@
         CHECK(rows.count(name) == 1);
     }
 }
+
+// Guards against a setting that operators cannot look up, or whose default on the page is wrong.
+TEST_CASE("docs/settings.md has one row for each setting of the tree, with unit and default")
+{
+    const auto rows = rowsOf("settings.md");
+    for (const auto& spec : knownSettings()) {
+        const std::string name(spec.name_);
+        INFO(name);
+        REQUIRE(rows.count(name) == 1);
+        const Cells& cells = rows.find(name)->second;
+        REQUIRE(cells.size() == 7);
+        if (!spec.unit_.empty())
+            CHECK(cells[2] == spec.unit_);
+        CHECK(cells[3] == (spec.default_.empty() ? "none" : "`" + std::string(spec.default_) + "`"));
+        CHECK_FALSE(cells[5].empty());
+    }
+}
