--- a/daemon/connection/CallerApi.cpp
+++ b/daemon/connection/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "connection/CallerApi.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace cassiahollow {
@@ -189,7 +190,7 @@
     listener_->forEachStream([this](const HttpConnectionPtr& connection) {
         connection->sendText("{\"event\":\"reconnect\"}");
         const auto stream = streams_.find(connection.get());
-        if (stream != streams_.end() && stream->second.openTransactions_ == 0)
+        if (stream != streams_.end() && stream->second.transactions_.empty())
             connection->closeWhenSent();
     });
 }
@@ -226,14 +227,26 @@
     connection->sendText(text(object));
 }
 
-void CallerApi::transactionEnded(std::uint64_t caller)
+CallerApi::Stream* CallerApi::findStream(std::uint64_t caller)
 {
     for (auto& [connection, stream] : streams_) {
-        if (stream.caller_ == caller && stream.openTransactions_ > 0) {
-            --stream.openTransactions_;
-            --openTransactions_;
-        }
+        if (stream.caller_ == caller)
+            return &stream;
     }
+    return nullptr;
+}
+
+void CallerApi::transactionEnded(std::uint64_t caller, const std::string& transaction)
+{
+    if (Stream* stream = findStream(caller))
+        stream->transactions_.erase(transaction);
+}
+
+bool CallerApi::isBusy() const
+{
+    const bool inTransaction = std::any_of(
+        streams_.begin(), streams_.end(), [](const auto& entry) { return !entry.second.transactions_.empty(); });
+    return router_.openRequests() > 0 || inTransaction;
 }
 
 void CallerApi::receiveMessage(const HttpConnectionPtr& connection, const std::string& message)
@@ -269,24 +282,27 @@
     const std::uint64_t caller = stream.caller_;
     const AnswerHandler answer
         = [this, connection, id](const CallerAnswer& result) { answerStream(connection, id, result); };
-    const AnswerHandler lastAnswer = [this, connection, id, caller](const CallerAnswer& result) {
-        transactionEnded(caller);
+    const AnswerHandler lastAnswer = [this, connection, id, caller, transaction](const CallerAnswer& result) {
+        transactionEnded(caller, transaction);
         answerStream(connection, id, result);
     };
     if (operation == "run" && transaction.empty()) {
         router_.handle(std::move(request), answer);
     } else if (operation == "run") {
-        router_.runInTransaction(caller, transaction, std::move(request.statements_), answer);
+        router_.runInTransaction(caller, transaction, std::move(request.statements_),
+            [this, connection, id, caller, transaction](const CallerAnswer& result) {
+                if (result.reason_ == Reason::TransactionAborted)
+                    transactionEnded(caller, transaction);
+                answerStream(connection, id, result);
+            });
     } else if (operation == "begin" && !stopping_) {
-        ++stream.openTransactions_;
-        ++openTransactions_;
         router_.begin(caller, std::move(request), [this, connection, id, caller](const CallerAnswer& result) {
-            if (result.outcome_ != Outcome::Done)
-                transactionEnded(caller);
+            if (Stream* owner = findStream(caller); owner && result.outcome_ == Outcome::Done)
+                owner->transactions_.insert(result.key_);
             answerStream(connection, id, result);
         });
     } else if (operation == "commit") {
-        router_.commit(caller, transaction, std::move(request.key_), lastAnswer);
+        router_.commit(caller, transaction, std::move(request), lastAnswer);
     } else if (operation == "rollback") {
         router_.rollback(caller, transaction, lastAnswer);
     } else {
@@ -302,7 +318,6 @@
     if (stream == streams_.end())
         return;
     const std::uint64_t caller = stream->second.caller_;
-    openTransactions_ -= stream->second.openTransactions_;
     streams_.erase(stream);
     router_.endCaller(caller);
 }
--- a/daemon/connection/CallerApi.h
+++ b/daemon/connection/CallerApi.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 
 namespace cassiahollow {
 
@@ -21,12 +22,12 @@
     /// Closes the listening socket and asks WebSocket callers to connect elsewhere.
     void stopAccepting();
     /// True while a request, or a transaction on a WebSocket, is open.
-    bool isBusy() const { return router_.openRequests() > 0 || openTransactions_ > 0; }
+    bool isBusy() const;
 
 private:
     struct Stream {
         std::uint64_t caller_ { 0 };
-        std::size_t openTransactions_ { 0 };
+        std::set<std::string> transactions_; ///< Begun and not ended.
     };
 
     void receiveRequest(const HttpConnectionPtr&, HttpRequest);
@@ -34,14 +35,14 @@
     void receiveStep(const HttpConnectionPtr&, Stream&, const nlohmann::json&);
     void connectionClosed(const HttpConnectionPtr&);
     void answerStream(const HttpConnectionPtr&, const nlohmann::json& id, const CallerAnswer&);
-    void transactionEnded(std::uint64_t caller);
+    void transactionEnded(std::uint64_t caller, const std::string& transaction);
+    Stream* findStream(std::uint64_t caller);
 
     ServeContext& context_;
     RequestRouter& router_;
     std::unique_ptr<HttpListener> listener_;
     std::map<const HttpConnection*, Stream> streams_;
     std::uint64_t lastCaller_ { 0 };
-    std::size_t openTransactions_ { 0 };
     bool stopping_ { false };
 };
 
--- a/daemon/connection/HeldEndpoint.cpp
+++ b/daemon/connection/HeldEndpoint.cpp
@@ -11,6 +11,8 @@
     // An endpoint that has not answered a statement for this long is asked again on a new connection, since the old
     // one may have gone silent. Statements are safe to send again: reads have no effect and writes carry a key.
     constexpr std::chrono::milliseconds statementSilence { 1000 };
+    constexpr std::chrono::seconds longestSilence { 60 };
+    constexpr int silenceFactor = 8; // Times the mean run time, for endpoints whose statements are slow.
     constexpr int runTimeSmoothing = 16;
 
     // One statement more than the endpoint has slots keeps a slot from idling during the round trip: 8 points more of
@@ -20,6 +22,12 @@
     // requests (same page), so one is reserved only where it is at most an eighth of the slots.
     constexpr std::size_t slotsToReserveOne = 8;
 
+    /// Classes of different services have weights of their own even if their names are equal.
+    ClassId queueClass(const ServiceId& service, const ClassId& requestClass)
+    {
+        return ClassId(service.value_ + "/" + requestClass.value_);
+    }
+
     LogPosition noPosition()
     {
         return {};
@@ -37,6 +45,7 @@
     : context_(context)
     , record_(record)
     , queue_(admissionSettings())
+    , silenceLimit_(statementSilence)
 {
     pool_.settings_.connectionLimit_ = record_.connections_;
     pool_.settings_.warmConnections_ = record_.slots_;
@@ -68,12 +77,14 @@
     AdmissionSettings settings;
     const std::size_t slots = std::max<std::size_t>(record_.slots_, 1);
     settings.slots_ = slots + extraInFlight;
-    settings.maximumLength_ = context_.settings_.limits_.maxQueuedRequests_;
+    const auto queueLimit = static_cast<std::size_t>(groupSettings(context_.tree_, record_.group_).queueLimit_);
+    settings.maximumLength_ = std::min(context_.settings_.limits_.maxQueuedRequests_, queueLimit);
     for (const auto& service : servicesOf(context_.tree_)) {
         for (const auto& requestClass : classesOf(context_.tree_, service)) {
             if (const auto known = classSettings(context_.tree_, service, requestClass))
-                settings.classes_[requestClass] = { static_cast<double>(std::max<std::int64_t>(known->weight_, 1)),
-                    known->urgent_ && slots >= slotsToReserveOne };
+                settings.classes_[queueClass(service, requestClass)]
+                    = { static_cast<double>(std::max<std::int64_t>(known->weight_, 1)),
+                          known->urgent_ && slots >= slotsToReserveOne };
         }
     }
     return settings;
@@ -114,7 +125,7 @@
     job->term_ = term;
     job->reply_ = std::move(replyHandler);
     job->enqueued_ = Clock::now();
-    job->item_.class_ = job->request_.class_;
+    job->item_.class_ = queueClass(job->request_.service_, job->request_.class_);
     job->item_.service_ = job->request_.service_;
     // The latest useful start: what starts later than this would be answered after the caller's deadline.
     job->item_.deadline_ = deadline - expectedRunTime_;
@@ -242,8 +253,10 @@
     }
     connection.channel_->send(encodeEndpointRequest({ ++connection.lastExchange_, std::move(operation) }));
     const ConnectionNumber number = job->lease_.connection_;
-    job->silenceTimer_ = context_.loop_.schedule(Clock::now() + statementSilence, [this, job, number] {
+    job->silenceTimer_ = context_.loop_.schedule(Clock::now() + silenceLimit_, [this, job, number] {
         job->silenceTimer_.reset();
+        // If statements have become slow, the next one is given twice the time.
+        silenceLimit_ = std::min<Duration>(2 * silenceLimit_, longestSilence);
         abandonConnection(number, Reason::EndpointSilent);
     });
 }
@@ -371,6 +384,7 @@
     const Duration runTime = Clock::now() - connection.sent_;
     context_.metrics_.record(HistogramId::RunTime, runTime);
     expectedRunTime_ += (runTime - expectedRunTime_) / runTimeSmoothing;
+    silenceLimit_ = std::max<Duration>(statementSilence, silenceFactor * expectedRunTime_);
     const ForwardOperation operation = job->request_.operation_;
     ForwardReply reply;
     reply.wasSent_ = true;
--- a/daemon/connection/HeldEndpoint.h
+++ b/daemon/connection/HeldEndpoint.h
@@ -103,6 +103,7 @@
     std::map<std::string, Transaction> transactions_;
     std::uint64_t lastJob_ { 0 };
     Duration expectedRunTime_ {}; ///< Mean time from sending a statement to its answer.
+    Duration silenceLimit_; ///< How long a statement may go without an answer.
     std::optional<EventLoop::TimerId> timer_;
     bool pumping_ { false };
     bool pumpAgain_ { false };
--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -355,6 +355,8 @@
     }
     for (auto& [endpoint, held] : held_)
         held->update(held->record());
+    for (auto& [group, watched] : watched_)
+        watched.watch_->applySettings();
     scheduleRefresh();
     feed(SettingsApplied { tree_.revision_, publish });
     logInfo("applied settings revision " + std::to_string(tree_.revision_));
--- a/daemon/request/RequestRouter.cpp
+++ b/daemon/request/RequestRouter.cpp
@@ -482,17 +482,55 @@
         });
 }
 
-void RequestRouter::commit(std::uint64_t caller, const std::string& transaction, std::string key, AnswerHandler handler)
+void RequestRouter::lookUpCommit(CallerRequest request, AnswerHandler handler)
+{
+    auto open = std::make_shared<Open>();
+    open->handler_ = std::move(handler);
+    if (!prepare(request, *open))
+        return;
+    ++openRequests_;
+    const auto route = routeOf(context_.membership_.directory_, open->service_.group_);
+    ForwardRequest forward = forwardRequest(*open, route ? route->primary_ : EndpointId());
+    forward.operation_ = ForwardOperation::Lookup;
+    forward.statements_.clear();
+    forward.key_ = callerWriteKey(open->request_.service_, open->request_.key_);
+    dispatch(std::move(forward), std::nullopt, [this, open](ForwardReply reply) {
+        CallerAnswer answer;
+        answer.key_ = open->request_.key_;
+        if (reply.outcome_ == Outcome::Done && reply.repeatedKey_) {
+            answer.outcome_ = Outcome::Done;
+            answer.answers_ = std::move(reply.answers_);
+            recordWrite(open->session_, open->service_.group_, reply.position_);
+        } else {
+            // An absent key proves nothing while the commit may still be on its way to the endpoint.
+            answer.outcome_ = Outcome::Unknown;
+            answer.reason_ = Reason::AnswerLost;
+        }
+        finish(*open, std::move(answer));
+    });
+}
+
+void RequestRouter::commit(
+    std::uint64_t caller, const std::string& transaction, CallerRequest commitRequest, AnswerHandler handler)
 {
     const Transaction* found = findTransaction(caller, transaction);
+    if (!found && !commitRequest.key_.empty() && !commitRequest.service_.empty()) {
+        lookUpCommit(std::move(commitRequest), std::move(handler));
+        return;
+    }
+    if (!found && callerOfTransaction(transaction) == caller) {
+        // It was open on this connection once, so an earlier commit may have run.
+        refuseCaller(handler, Reason::AnswerLost, "the transaction has ended", std::move(commitRequest.key_));
+        return;
+    }
     if (!found) {
-        refuseCaller(handler, Reason::TransactionUnknown, {}, std::move(key));
+        refuseCaller(handler, Reason::TransactionUnknown, {}, std::move(commitRequest.key_));
         return;
     }
     auto write = std::make_shared<Write>();
     write->handler_ = std::move(handler);
     CallerRequest request = found->request_;
-    request.key_ = std::move(key);
+    request.key_ = std::move(commitRequest.key_);
     write->transaction_ = transaction;
     write->holder_ = found->holder_;
     write->endpoint_ = found->endpoint_;
--- a/daemon/request/RequestRouter.h
+++ b/daemon/request/RequestRouter.h
@@ -56,7 +56,9 @@
     void begin(std::uint64_t caller, CallerRequest, AnswerHandler);
     void runInTransaction(
         std::uint64_t caller, const std::string& transaction, std::vector<std::string> statements, AnswerHandler);
-    void commit(std::uint64_t caller, const std::string& transaction, std::string key, AnswerHandler);
+    /// A commit of a transaction that is not open any more is looked up by the key of the request, which then has to
+    /// name the service and class; its outcome is unknown if that finds nothing.
+    void commit(std::uint64_t caller, const std::string& transaction, CallerRequest, AnswerHandler);
     void rollback(std::uint64_t caller, const std::string& transaction, AnswerHandler);
     /// Rolls back what a caller connection that has ended left open.
     void endCaller(std::uint64_t caller);
@@ -127,6 +129,7 @@
     void writeReplied(const WritePtr&, const WriteRunAt&, ForwardReply);
     void answerWrite(const WritePtr&, const WriteAnswer&);
 
+    void lookUpCommit(CallerRequest, AnswerHandler);
     ForwardRequest forwardRequest(const Open&, const EndpointId&) const;
     /// Sends an attempt to the holder of the endpoint, or to a given holder. The handler is called exactly once.
     void dispatch(ForwardRequest, std::optional<InstanceId> holder, ReplyHandler);
--- a/daemon/version/GroupWatch.cpp
+++ b/daemon/version/GroupWatch.cpp
@@ -49,6 +49,7 @@
               + std::to_string(stateNumber)))
 {
     view_.group_ = std::move(group);
+    applySettings();
     questionTimer_ = context_.loop_.schedule(Clock::now() + questionInterval, [this] { askMembers(); });
 }
 
@@ -75,6 +76,14 @@
     feed(GroupConfigured { std::move(members), std::move(watchers) });
 }
 
+void GroupWatch::applySettings()
+{
+    const GroupSettings settings = groupSettings(context_.tree_, state_.group_);
+    state_.timings_.suspicion_ = settings.suspicionTime_;
+    state_.timings_.promotionInterval_ = settings.promotionInterval_;
+    view_.settings_.suspicionTime_ = settings.suspicionTime_;
+}
+
 void GroupWatch::receiveVote(const GroupVote& vote)
 {
     feed(VoteReceived { vote });
@@ -192,7 +201,7 @@
 
 void GroupWatch::perform(const LogChange& action)
 {
-    logInfo("group " + state_.group_.value_ + ": " + action.text_);
+    logInfo(action.text_);
 }
 
 GroupWatch::Link* GroupWatch::findLink(const EndpointId& endpoint, std::uint64_t probe)
--- a/daemon/version/GroupWatch.h
+++ b/daemon/version/GroupWatch.h
@@ -28,6 +28,8 @@
     GroupWatch& operator=(const GroupWatch&) = delete;
 
     void configure(std::vector<GroupMember>, std::vector<GroupWatcher>);
+    /// Takes over the group's settings from the settings tree.
+    void applySettings();
     void receiveVote(const GroupVote&);
     /// Starts a planned change of primary.
     void orderChange(const EndpointId& preferred);
