--- a/tests/integration/SessionTest.cpp
+++ b/tests/integration/SessionTest.cpp
@@ -50,7 +50,6 @@
     options.lag_ = GENERATE(0ms, 50ms, 300ms);
     Deployment deployment(options);
     REQUIRE(deployment.waitUntilServing());
-    INFO(deployment.logs());
     constexpr int rounds = 10;
     for (int round = 0; round < rounds; ++round) {
         const auto value = "value-" + std::to_string(round);
@@ -106,7 +105,6 @@
     options.lag_ = 300ms;
     Deployment deployment(options);
     REQUIRE(deployment.waitUntilServing());
-    INFO(deployment.logs());
     constexpr auto age = 1500ms;
     std::vector<std::pair<std::chrono::steady_clock::time_point, int>> acknowledged;
     std::string writerSession;
--- a/tests/integration/support/Deployment.cpp
+++ b/tests/integration/support/Deployment.cpp
@@ -4,6 +4,8 @@
 #include "Waiting.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <exception>
 #include <fstream>
 #include <stdexcept>
 
@@ -101,6 +103,20 @@
     }
 }
 
+Deployment::~Deployment()
+{
+    if (std::uncaught_exceptions() > 0)
+        std::fprintf(stderr, "%s\n", logs().c_str());
+}
+
+std::vector<std::string> Deployment::operatorAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& instance : instances_)
+        addresses.push_back(instance.operators_);
+    return addresses;
+}
+
 std::vector<std::string> Deployment::callerAddresses() const
 {
     std::vector<std::string> addresses;
--- a/tests/integration/support/Deployment.h
+++ b/tests/integration/support/Deployment.h
@@ -42,11 +42,16 @@
     };
 
     explicit Deployment(const DeploymentOptions& = {});
+    Deployment(const Deployment&) = delete;
+    Deployment& operator=(const Deployment&) = delete;
+    /// Ends all processes. Prints the ends of their logs if the test case is being left by a failed check.
+    ~Deployment();
 
     std::vector<Instance>& instances() { return instances_; }
     std::vector<Database>& databases(std::size_t group = 0) { return groups_.at(group); }
     std::size_t groups() const { return groups_.size(); }
     std::vector<std::string> callerAddresses() const;
+    std::vector<std::string> operatorAddresses() const;
 
     /// Waits until all instances are ready and agree on a primary of each group.
     bool waitUntilServing();
@@ -70,10 +75,8 @@
     /// Text of /v1/metrics of an instance; empty without an answer.
     std::string metrics(std::size_t instance) const;
 
-    /// The end of the log of each process, for failed checks.
-    std::string logs() const;
-
 private:
+    std::string logs() const;
     std::optional<nlohmann::json> operatorGet(std::size_t instance, const std::string& path) const;
 
     TemporaryFolder folder_;
