Keep transactions of different instances apart

Cause: the holder found transactions by the id alone, and two instances that start in the same millisecond give out the same ids. The second begin then replaced the first, whose next statement was refused. Ruled out: mixed statements; the owner was compared as well. After: the key is (instance, id).

--- a/daemon/connection/HeldEndpoint.cpp
+++ b/daemon/connection/HeldEndpoint.cpp
@@ -132,7 +132,7 @@
     job->item_.id_ = ++lastJob_;
     jobs_[job->item_.id_] = job;
     if (isTransactionStep(job->request_.operation_)) {
-        const auto transaction = transactions_.find(job->request_.transaction_);
+        const auto transaction = transactions_.find({ job->owner_.instance_, job->request_.transaction_ });
         if (transaction == transactions_.end() || transaction->second.owner_ != job->owner_) {
             refuse(job, Reason::TransactionUnknown);
             return;
@@ -217,7 +217,7 @@
     if (!statementStarted(pool_, job->lease_, opensTransaction, now)) {
         job->lease_ = {};
         cancel(queue_, job->item_);
-        transactions_.erase(job->request_.transaction_);
+        transactions_.erase({ job->owner_.instance_, job->request_.transaction_ });
         refuse(job, Reason::TransactionIdle);
         return;
     }
@@ -331,7 +331,7 @@
     stopSilenceTimer(job);
     // A refused step may have left the transaction open at the endpoint, so the pool has to close the connection.
     statementFinished(pool_, job->lease_, transactionOpen || refusedInTransaction, now);
-    const std::string& transaction = job->request_.transaction_;
+    const TransactionKey transaction { job->owner_.instance_, job->request_.transaction_ };
     if (transactionOpen && !job->replied_) {
         transactions_[transaction] = { job->lease_, job->owner_, job->term_ };
         return;
--- a/daemon/connection/HeldEndpoint.h
+++ b/daemon/connection/HeldEndpoint.h
@@ -100,7 +100,9 @@
     ConnectionPool pool_;
     std::map<ConnectionNumber, Connection> connections_;
     std::map<std::uint64_t, JobPtr> jobs_;
-    std::map<std::string, Transaction> transactions_;
+    /// Ids of transactions are unique within an instance only.
+    using TransactionKey = std::pair<InstanceId, std::string>;
+    std::map<TransactionKey, Transaction> transactions_;
     std::uint64_t lastJob_ { 0 };
     Duration expectedRunTime_ {}; ///< Mean time from sending a statement to its answer.
     Duration silenceLimit_; ///< How long a statement may go without an answer.
