Give up requests that wait for a group this instance stops watching

Cause: when the holder roles of a group move away, refreshGroup erases the watch of the group. Writes that wait there for their majority wake up only on events of that watch, so a write whose caller is connected to the same instance waited until its deadline and was answered unknown. Writes forwarded from other instances were resent after 3 s without a reply.

Ruled out: a lost message between instances (no answer was lost and the router resends after 3 s), and the shutdown itself (the process ended with status 0).

Conclusion: the waiting requests are now told, and run again with their key at the new holder.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -355,7 +355,9 @@
         watching = watching || instance == settings_.instance_;
     }
     if (!watching) {
-        watched_.erase(group);
+        // Requests that wait for this watch would get no event any more; they are given up and run at the new holder.
+        if (watched_.erase(group) > 0)
+            holderService_.groupChanged(group);
         return;
     }
     Watched& watched = watched_[group];
