--- a/tests/integration/support/HistoryClient.cpp
+++ b/tests/integration/support/HistoryClient.cpp
@@ -130,6 +130,8 @@
             ++refusals_[outcome->json_.value("reason", "")];
         } else if (outcome) {
             ++unknownAnswers_;
+            const std::lock_guard lock(mutex_);
+            ++refusals_["unknown " + outcome->json_.value("reason", "") + " through " + address];
         } else {
             ++lostAnswers_;
         }
