Report a control member that is not a map as a settings error

Cause: readControl looked up 'instance' in each entry of control.members without checking its type. yaml-cpp throws BadSubscript for a scalar, which loadProcessSettings does not catch, so the exception left the loader.

Ruled out: the YAML parser itself (the input is valid YAML), and sequences and nulls as entries, for which the look-up returns an undefined node.

Before: ProcessSettingsTest fails with an uncaught YAML exception, and the fuzz run stops at that input.

Conclusion: an entry that is not a map is now an error with its line, and the remaining entries are still checked.

--- a/daemon/process/ProcessSettings.cpp
+++ b/daemon/process/ProcessSettings.cpp
@@ -131,6 +131,11 @@
             reader.fail(members, path, "has to be a list of {instance, address}");
         if (members && members.IsSequence()) {
             for (const auto& member : members) {
+                // yaml-cpp throws when a field of a scalar is looked up.
+                if (!member.IsMap()) {
+                    reader.fail(member, path, "has an entry that is not a map; write {instance, address}");
+                    continue;
+                }
                 ControlMemberSettings entry;
                 entry.instance_ = InstanceId(member["instance"].as<std::string>(""));
                 entry.address_ = member["address"].as<std::string>("");
