Keep a revision that a control member learned from a peer

A control member can get a settings revision from a peer before its own log has the commit. It applied and showed that revision but did not store it, so after a kill -9 it went back by one revision until the next leader committed.

Seen in ControlProcessTest: 300 changes, then kill -9 and restart of all five instances. instance-2 showed revision 301 before and 300 after the restart. Ruled out: a lost change, since 301 was in force everywhere 35 ms after the restart; and a check that assumes that every member applied the last change, since the check compares with what the same member showed before the kill.

A control member now stores such a revision in its data folder, as other instances with a data folder do, and loads it before it serves.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -151,9 +151,9 @@
     BOOST_LEAF_CHECK(callers_.start());
     BOOST_LEAF_CHECK(platform_.start());
     BOOST_LEAF_CHECK(operators_.start());
-    if (control_) {
+    if (control_)
         BOOST_LEAF_CHECK(control_->start()); // Reports the settings that it has stored.
-    } else if (!settings_.dataFolder_.empty()) {
+    if (!settings_.dataFolder_.empty()) {
         BOOST_LEAF_AUTO(stored, loadAppliedSettings(settings_.dataFolder_));
         if (stored)
             acceptSettings(tree_, *stored);
@@ -348,8 +348,10 @@
 {
     if (!acceptSettings(tree_, offered))
         return;
-    // Changes are rare, so the serve task can wait for the disk.
-    if (!control_ && !settings_.dataFolder_.empty() && !storeAppliedSettings(settings_.dataFolder_, tree_)) {
+    // Changes are rare, so the serve task can wait for the disk. The control task has stored what it publishes; a
+    // control member can also get a revision from a peer before its log has the commit, and must not lose it either.
+    const bool isStored = control_ && publish;
+    if (!isStored && !settings_.dataFolder_.empty() && !storeAppliedSettings(settings_.dataFolder_, tree_)) {
         metrics_.count(Reason::StorageFailed);
         logError("cannot store the applied settings; check the disk of data_folder");
     }
