--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -3,7 +3,6 @@
 #include "cassiahollow/process/MembershipCodec.h"
 #include "cassiahollow/version/ControlCodec.h"
 #include "cassiahollow/version/ControlStorage.h"
-#include "cassiahollow/version/GroupMessages.h"
 #include "process/Log.h"
 
 #include <algorithm>
@@ -13,8 +12,6 @@
 namespace {
 
     constexpr std::size_t inboxMessages = 100000;
-    // Changes of several records usually come in one message, so groups are looked at once after a short pause.
-    constexpr std::chrono::milliseconds refreshDelay { 2 };
     constexpr std::chrono::milliseconds housekeepInterval { 1000 };
     // Repeats of a message follow it closely; this many requests of one instance arrive within about a second.
     constexpr std::size_t recentRequestsKept = 4096;
@@ -108,38 +105,6 @@
         control_->stop(); // Its callbacks post to this task.
 }
 
-std::unique_ptr<ControlTask> ServeTask::makeControlTask(const SettingsTree& startTree)
-{
-    const bool isMember = std::any_of(settings_.control_.begin(), settings_.control_.end(),
-        [this](const auto& member) { return member.instance_ == settings_.instance_; });
-    if (!isMember)
-        return nullptr;
-    ControlTaskOptions options;
-    options.instance_ = settings_.instance_;
-    for (const auto& member : settings_.control_)
-        options.listed_.push_back(member.instance_);
-    options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
-    options.start_ = startTree;
-    options.seed_ = incarnation_ ^ std::hash<InstanceId>()(settings_.instance_);
-    ControlTaskCallbacks callbacks;
-    callbacks.send_ = [this](const InstanceId& recipient, std::string body) {
-        post(ControlSend { recipient, std::move(body) });
-    };
-    callbacks.settingsApplied_
-        = [this](std::shared_ptr<const SettingsTree> tree) { post(ControlSettings { std::move(tree) }); };
-    callbacks.groupApplied_ = [this](const GroupId& group, const GroupMembers& members) {
-        post(ControlGroup { group, members });
-    };
-    callbacks.answered_
-        = [this](std::uint64_t token, const ChangeOutcome& outcome, const std::shared_ptr<const SettingsTree>&) {
-              post(ControlAnswered { token, outcome });
-          };
-    callbacks.statusChanged_ = [this](const ControlStatus& status) { post(status); };
-    callbacks.dropped_ = [this](Reason reason) { metrics_.count(reason); };
-    callbacks.failed_ = [this](const Failure& failure) { post(ControlFailed { failure }); };
-    return std::make_unique<ControlTask>(std::move(options), std::move(callbacks));
-}
-
 void ServeTask::post(ServeMessage message)
 {
     inbox_.post(std::move(message));
@@ -186,90 +151,6 @@
     beginShutdown();
 }
 
-// Control.
-
-std::string ServeTask::controlAddress(const InstanceId& instance) const
-{
-    for (const auto& member : settings_.control_) {
-        if (member.instance_ == instance)
-            return member.address_;
-    }
-    const auto record = membership_.directory_.instances_.find(instance);
-    return record == membership_.directory_.instances_.end() ? std::string() : record->second.address_;
-}
-
-void ServeTask::receive(const ControlSend& message)
-{
-    const std::string address = controlAddress(message.recipient_);
-    if (!address.empty())
-        peers_.send(address, PeerMessageKind::Control, message.body_);
-}
-
-void ServeTask::receive(const ControlSettings& message)
-{
-    applyTree(*message.tree_, true);
-}
-
-void ServeTask::receive(const ControlGroup& message)
-{
-    proposedGroups_.erase(message.group_);
-    feed(GroupMembersPublished { { message.group_, message.members_.version_, message.members_.members_ } });
-}
-
-void ServeTask::receive(const ControlAnswered& message)
-{
-    controlClient_.answeredLocally(message.token_, message.outcome_);
-}
-
-void ServeTask::receive(const ControlStatus& status)
-{
-    if (status.leader_ != controlStatus_.leader_ && !status.leader_.empty())
-        logInfo("control: " + status.leader_.value_ + " leads term " + std::to_string(status.term_));
-    controlStatus_ = status;
-}
-
-void ServeTask::receive(const ControlFailed& message)
-{
-    logError("control: " + failureMessage(message.failure_));
-    metrics_.count(message.failure_.reason_);
-}
-
-void ServeTask::receiveControl(PeerMessage& message)
-{
-    if (control_) {
-        if (!control_->post(ControlTask::PeerMessage { message.sender_, std::move(message.body_) }))
-            metrics_.count(Reason::MessageQueueFull);
-        return;
-    }
-    const auto decoded = decodeControlMessage(message.body_);
-    if (!decoded)
-        metrics_.count(Reason::MessageMalformed);
-    else if (const auto* answer = std::get_if<RequestAnswer>(&decoded->body_))
-        controlClient_.answeredRemotely(*answer);
-}
-
-void ServeTask::proposeGroups()
-{
-    if (controlStatus_.role_ != ControlRole::Leader)
-        return;
-    for (const auto& [group, endpoints] : membership_.directory_.byGroup_) {
-        const auto size = static_cast<std::size_t>(groupSettings(tree_, group).size_);
-        if (membersOf(membership_.directory_, group) || endpoints.size() < size
-            || !proposedGroups_.insert(group).second)
-            continue;
-        std::vector<EndpointId> members(
-            endpoints.begin(), std::next(endpoints.begin(), static_cast<std::ptrdiff_t>(size)));
-        ControlChange change { "members-" + group.value_ + "-0", GroupMembersChange { group, 0, std::move(members) } };
-        const GroupId proposed = group;
-        controlClient_.submit(std::move(change), [this, proposed](const ChangeOutcome& outcome) {
-            if (outcome.outcome_ != Outcome::Done && !outcome.decided_)
-                proposedGroups_.erase(proposed); // Proposed again; the key keeps it from being applied twice.
-        });
-    }
-}
-
-// Messages of other instances.
-
 bool ServeTask::isStale(const PeerMessage& message)
 {
     Incarnation& newest = newestIncarnations_[message.sender_];
@@ -460,143 +341,6 @@
     metrics_.count(action.reason_);
 }
 
-// Groups.
-
-std::vector<EndpointId> ServeTask::membersOfGroup(const GroupId& group) const
-{
-    if (const auto recorded = membersOf(membership_.directory_, group))
-        return recorded->members_;
-    if (!settings_.control_.empty())
-        return {}; // The control members decide who is a member.
-    // Without control members the first complete set of announced endpoints is used, and kept while the process runs.
-    const auto known = watched_.find(group);
-    if (known != watched_.end() && !known->second.members_.empty())
-        return known->second.members_;
-    std::vector<EndpointId> members = groupMemberIds(membership_, group);
-    const auto size = static_cast<std::size_t>(groupSettings(tree_, group).size_);
-    if (members.size() < size)
-        return {};
-    members.resize(size);
-    return members;
-}
-
-std::string ServeTask::addressOf(const EndpointId& endpoint) const
-{
-    const auto known = lastAddresses_.find(endpoint);
-    return known == lastAddresses_.end() ? std::string() : known->second;
-}
-
-void ServeTask::scheduleRefresh()
-{
-    if (std::exchange(refreshScheduled_, true))
-        return;
-    loop_.schedule(Clock::now() + refreshDelay, [this] {
-        refreshScheduled_ = false;
-        refreshGroups();
-    });
-}
-
-void ServeTask::refreshGroups()
-{
-    std::set<GroupId> groups;
-    for (const auto& [group, watched] : watched_)
-        groups.insert(group);
-    for (const auto& [endpoint, held] : held_)
-        groups.insert(held->record().group_);
-    for (const auto& group : groups)
-        refreshGroup(group);
-}
-
-void ServeTask::refreshGroup(const GroupId& group)
-{
-    const std::vector<EndpointId> members = membersOfGroup(group);
-    std::vector<std::pair<InstanceId, bool>> watchers;
-    std::vector<GroupWatcher> groupWatchers;
-    bool watching = false;
-    for (const auto& instance : watchersOf(membership_.holders_, members)) {
-        const auto record = membership_.directory_.instances_.find(instance);
-        if (record == membership_.directory_.instances_.end())
-            continue;
-        const bool alive = record->second.status_ == InstanceStatus::Alive;
-        watchers.emplace_back(instance, alive);
-        groupWatchers.push_back({ instance, record->second.dataCentre_, alive });
-        watching = watching || instance == settings_.instance_;
-    }
-    if (!watching) {
-        // Requests that wait for this watch would get no event any more; they are given up and run at the new holder.
-        if (watched_.erase(group) > 0)
-            holderService_.groupChanged(group);
-        return;
-    }
-    Watched& watched = watched_[group];
-    if (watched.watch_ && watched.members_ == members && watched.watchers_ == watchers)
-        return;
-    if (!watched.watch_) {
-        GroupWatchHooks hooks;
-        hooks.sendVote_ = [this](const GroupVote& vote) { sendVote(vote); };
-        hooks.publishRoute_ = [this](const RouteRecord& route) { feed(RoutePublished { route }); };
-        hooks.changed_ = [this](const GroupId& changed) { holderService_.groupChanged(changed); };
-        hooks.addressOf_ = [this](const EndpointId& endpoint) { return addressOf(endpoint); };
-        watched.watch_ = std::make_unique<GroupWatch>(context_, group, ++lastGroupState_, std::move(hooks));
-    }
-    watched.members_ = members;
-    watched.watchers_ = std::move(watchers);
-    std::vector<GroupMember> groupMembers;
-    for (const auto& member : members) {
-        const auto record = findEndpoint(membership_.directory_, member);
-        groupMembers.push_back({ member, record ? record->dataCentre_ : DataCentre() });
-    }
-    watched.watch_->configure(std::move(groupMembers), std::move(groupWatchers));
-}
-
-void ServeTask::sendVote(const GroupVote& vote)
-{
-    const auto watched = watched_.find(vote.group_);
-    if (watched == watched_.end())
-        return;
-    for (const auto& [instance, alive] : watched->second.watchers_) {
-        const auto record = membership_.directory_.instances_.find(instance);
-        if (instance != settings_.instance_ && record != membership_.directory_.instances_.end())
-            peers_.send(record->second.address_, PeerMessageKind::Group, encodeGroupVote(vote));
-    }
-}
-
-void ServeTask::receiveVote(const PeerMessage& message)
-{
-    const auto vote = decodeGroupVote(message.body_);
-    if (!vote || vote->voter_ != message.sender_) {
-        metrics_.count(Reason::MessageMalformed);
-        return;
-    }
-    const auto watched = watched_.find(vote->group_);
-    if (watched != watched_.end())
-        watched->second.watch_->receiveVote(*vote);
-}
-
-void ServeTask::replaceLeavingPrimaries()
-{
-    const DirectoryState& directory = membership_.directory_;
-    for (auto& [group, watched] : watched_) {
-        const auto primary = primaryOf(watched.watch_->state());
-        const auto held = primary ? held_.find(*primary) : held_.end();
-        if (held == held_.end() || !held->second->isHolder() || watched.watch_->state().change_)
-            continue;
-        const MemberView* best = nullptr;
-        bool primaryLeaves = isLeaving(directory, *primary);
-        for (const auto& member : watched.watch_->view().members_) {
-            if (member.endpoint_ == *primary)
-                primaryLeaves = primaryLeaves || member.leaving_;
-            else if (!member.leaving_ && !isLeaving(directory, member.endpoint_)
-                && (!best || member.position_ > best->position_))
-                best = &member;
-        }
-        if (primaryLeaves && best) {
-            logInfo("group " + group.value_ + ": primary " + primary->value_ + " is leaving");
-            watched.watch_->orderChange(EndpointId(best->endpoint_));
-        }
-    }
-}
-
 void ServeTask::housekeep()
 {
     replaceLeavingPrimaries();
--- a/tests/integration/TransactionTest.cpp
+++ b/tests/integration/TransactionTest.cpp
@@ -1,9 +1,7 @@
 #include "support/Deployment.h"
+#include "support/StreamClient.h"
 #include "support/Waiting.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/websocket.hpp>
 #include <catch2/catch.hpp>
 
 using namespace cassiahollow::testing;
@@ -11,31 +9,16 @@
 
 namespace {
 
-namespace beast = boost::beast;
-
 /// A caller on /v1/stream that sends one message at a time.
-class StreamCaller {
+class TransactionCaller {
 public:
-    explicit StreamCaller(const std::string& address)
-        : stream_(context_)
-    {
-        const auto colon = address.rfind(':');
-        const auto port = static_cast<unsigned short>(std::stoi(address.substr(colon + 1)));
-        beast::get_lowest_layer(stream_).connect({ boost::asio::ip::make_address(address.substr(0, colon)), port });
-        stream_.handshake(address, "/v1/stream");
-    }
+    explicit TransactionCaller(const std::string& address) { REQUIRE(stream_.connect(address)); }
 
     json call(json message)
     {
-        message["id"] = ++lastId_;
-        stream_.write(boost::asio::buffer(message.dump()));
-        for (;;) {
-            beast::flat_buffer buffer;
-            stream_.read(buffer);
-            json answer = json::parse(beast::buffers_to_string(buffer.data()));
-            if (answer.contains("id"))
-                return answer;
-        }
+        const auto answer = stream_.exchange(std::move(message));
+        REQUIRE(answer);
+        return *answer;
     }
 
     std::string begin()
@@ -55,9 +38,7 @@
     }
 
 private:
-    boost::asio::io_context context_;
-    beast::websocket::stream<beast::tcp_stream> stream_;
-    int lastId_ { 0 };
+    StreamClient stream_;
 };
 
 std::string valueOf(Deployment& deployment, std::size_t instance, const std::string& key)
@@ -77,8 +58,8 @@
 {
     Deployment deployment;
     REQUIRE(deployment.waitUntilServing());
-    StreamCaller first(deployment.instances()[0].callers_);
-    StreamCaller second(deployment.instances()[1].callers_);
+    TransactionCaller first(deployment.instances()[0].callers_);
+    TransactionCaller second(deployment.instances()[1].callers_);
     const std::string firstTransaction = first.begin();
     const std::string secondTransaction = second.begin();
     REQUIRE(first.run(firstTransaction, "SET a first")["outcome"] == "done");
@@ -107,12 +88,12 @@
     Deployment deployment;
     REQUIRE(deployment.waitUntilServing());
     {
-        StreamCaller caller(deployment.instances()[0].callers_);
+        TransactionCaller caller(deployment.instances()[0].callers_);
         const std::string transaction = caller.begin();
         REQUIRE(caller.run(transaction, "SET c lost")["outcome"] == "done");
     }
     for (int i = 0; i < 20; ++i) {
-        StreamCaller caller(deployment.instances()[i % 3].callers_);
+        TransactionCaller caller(deployment.instances()[i % 3].callers_);
         const std::string transaction = caller.begin();
         REQUIRE(caller.run(transaction, "SET d" + std::to_string(i) + " x")["outcome"] == "done");
         REQUIRE(caller.call({ { "op", "commit" }, { "transaction", transaction } })["outcome"] == "done");
@@ -126,7 +107,7 @@
 {
     Deployment deployment;
     REQUIRE(deployment.waitUntilServing());
-    StreamCaller caller(deployment.instances()[0].callers_);
+    TransactionCaller caller(deployment.instances()[0].callers_);
     const std::string transaction = caller.begin();
     REQUIRE(caller.run(transaction, "SET e x")["outcome"] == "done");
     const std::string primary = deployment.newestRoute().primary_;
