Keep open connections when the caller listener stops accepting

Cause: found by reading. The listener was destroyed at the end of the balancer delay, and libwebsockets says that this closes the connections of the listener too; a request that still runs would lose its answer. Ruled out: closing the listening socket alone, for which the library has no call; new connections are refused instead. Before/after: ShutdownTest passes with both versions, so the loss was not reproduced; the test stays as a guard.

--- a/daemon/connection/CallerApi.cpp
+++ b/daemon/connection/CallerApi.cpp
@@ -206,6 +206,10 @@
             "{\"outcome\":\"not_run\",\"reason\":\"malformed_request\",\"remedy\":\"POST to /v1/services/NAME\"}\n" });
         return;
     }
+    if (stopping_) {
+        refuse(Reason::ShuttingDown, {});
+        return;
+    }
     CallerRequest request;
     request.service_ = ServiceId(http.path_.substr(servicePrefix.size()));
     const std::string wrong = http.method_ == "POST" ? readRequest(json::parse(http.body_, nullptr, false), request)
@@ -286,7 +290,10 @@
         transactionEnded(caller, transaction);
         answerStream(connection, id, result);
     };
-    if (operation == "run" && transaction.empty()) {
+    if (operation == "run" && transaction.empty() && stopping_) {
+        context_.metrics_.count(Reason::ShuttingDown);
+        answerStream(connection, id, refusal(Reason::ShuttingDown, {}));
+    } else if (operation == "run" && transaction.empty()) {
         router_.handle(std::move(request), answer);
     } else if (operation == "run") {
         router_.runInTransaction(caller, transaction, std::move(request.statements_),
--- a/daemon/connection/CallerApi.h
+++ b/daemon/connection/CallerApi.h
@@ -19,7 +19,7 @@
 
     /// Opens the listener for callers.
     boost::leaf::result<void> start();
-    /// Closes the listening socket and asks WebSocket callers to connect elsewhere.
+    /// Refuses new connections and requests, and asks WebSocket callers to connect elsewhere.
     void stopAccepting();
     /// True while a request, or a transaction on a WebSocket, is open.
     bool isBusy() const;
--- a/daemon/connection/HttpListener.cpp
+++ b/daemon/connection/HttpListener.cpp
@@ -126,8 +126,8 @@
 
 void HttpListener::stopAccepting()
 {
-    if (vhost_)
-        lws_vhost_destroy(std::exchange(vhost_, nullptr));
+    // Destroying the vhost would close the open connections as well, with the requests on them.
+    stopped_ = true;
 }
 
 void HttpListener::forEachStream(const std::function<void(const HttpConnectionPtr&)>& function)
@@ -174,6 +174,8 @@
 {
     switch (reason) {
     case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
+        if (stopped_)
+            return -1;
         if (connections_.size() >= options_.maxConnections_) {
             handlers_.count_(Reason::TooManyConnections);
             return -1;
--- a/daemon/connection/HttpListener.h
+++ b/daemon/connection/HttpListener.h
@@ -93,7 +93,7 @@
 
     /// Errors: the address is not free or not valid.
     boost::leaf::result<void> start();
-    /// Closes the listening socket; open connections go on.
+    /// Closes new connections at once; open ones go on.
     void stopAccepting();
     /// Calls a function for each open WebSocket connection.
     void forEachStream(const std::function<void(const HttpConnectionPtr&)>&);
@@ -116,6 +116,7 @@
     lws_protocols protocols_[2] {};
     lws_vhost* vhost_ { nullptr };
     std::string host_;
+    bool stopped_ { false };
     std::unordered_map<lws*, HttpConnectionPtr> connections_;
 };
 
