Run an attempt only in the term that its sender knows

Cause: found by reading. A holder ran an attempt in its own newer term, while the write's state machine counted it for the older one and would take an absent key in the newer term for a proof of not run. Ruled out: telling the sender the term afterwards; the answer may be lost. Before: not reproduced by a test. After: the holder refuses the attempt as stale, or waits if the sender knows a newer term than the holder.

--- a/daemon/request/HolderService.cpp
+++ b/daemon/request/HolderService.cpp
@@ -240,7 +240,11 @@
         return true;
     }
     const auto primary = primaryOf(watch->state());
-    if (primary && *primary != request.endpoint_) {
+    // An attempt must not run in a later term than its sender thinks: the sender takes an absent key in a later term for
+    // the proof that the attempt did not run.
+    const Term term = termOf(watch->state());
+    const bool isOld = request.term_ != 0 && request.term_ < term;
+    if (isOld || (primary && *primary != request.endpoint_)) {
         refuse(pending, Reason::RetryStaleRoute);
         return true;
     }
@@ -250,9 +254,9 @@
         refuse(pending, Reason::GroupWithoutMajority);
         return true;
     }
-    if (!primary || writesPaused(watch->state()))
+    if (!primary || request.term_ > term || writesPaused(watch->state()))
         return false;
-    runWrite(pending, termOf(watch->state()));
+    runWrite(pending, term);
     return true;
 }
 
