--- a/daemon/connection/HeldEndpoint.h
+++ b/daemon/connection/HeldEndpoint.h
@@ -100,7 +100,7 @@
     ConnectionPool pool_;
     std::map<ConnectionNumber, Connection> connections_;
     std::map<std::uint64_t, JobPtr> jobs_;
-    /// Ids of transactions are unique within an instance only.
+    /// An instance is trusted with its own transactions only, whatever ids it sends.
     using TransactionKey = std::pair<InstanceId, std::string>;
     std::map<TransactionKey, Transaction> transactions_;
     std::uint64_t lastJob_ { 0 };
--- a/daemon/request/HolderService.cpp
+++ b/daemon/request/HolderService.cpp
@@ -240,8 +240,8 @@
         return true;
     }
     const auto primary = primaryOf(watch->state());
-    // An attempt must not run in a later term than its sender thinks: the sender takes an absent key in a later term for
-    // the proof that the attempt did not run.
+    // An attempt must not run in a later term than its sender thinks: the sender takes an absent key in a later term
+    // for the proof that the attempt did not run.
     const Term term = termOf(watch->state());
     const bool isOld = request.term_ != 0 && request.term_ < term;
     if (isOld || (primary && *primary != request.endpoint_)) {
--- a/daemon/request/HolderService.h
+++ b/daemon/request/HolderService.h
@@ -64,7 +64,7 @@
     std::map<GroupId, PendingList> waiting_;
 };
 
-/// The number of the caller connection that a transaction id names; ids are "caller.sequence".
+/// The number of the caller connection that a transaction id names; ids are "caller.sequence@instance".
 std::uint64_t callerOfTransaction(const std::string& transaction);
 
 } // namespace cassiahollow
--- a/daemon/request/RequestTransactions.cpp
+++ b/daemon/request/RequestTransactions.cpp
@@ -21,7 +21,9 @@
         return;
     }
     ++openRequests_;
-    const std::string id = std::to_string(caller) + "." + std::to_string(++lastKey_);
+    // Instances that start in the same millisecond number their callers alike, so the id names the instance.
+    const std::string id
+        = std::to_string(caller) + "." + std::to_string(++lastKey_) + "@" + context_.settings_.instance_.value_;
     ForwardRequest forward = forwardRequest(*open, route->primary_);
     forward.operation_ = ForwardOperation::Begin;
     forward.transaction_ = id;
