--- a/tests/support/GroupSimulation-inl.h
+++ b/tests/support/GroupSimulation-inl.h
@@ -7,7 +7,7 @@
 {
     auto& endpoint = endpoints_[e];
     if (nodes_[e].life_ > 1) {
-        endpoint.role_ = MemberRole::Replica;
+        endpoint.role_ = EndpointRole::Replica;
         endpoint.following_ = -1;
         endpoint.pulling_ = {};
     }
@@ -70,7 +70,7 @@
     auto& entry = history_[endpoint.last()];
     if (endpoint.promised_ == term)
         entry.heldBy_ |= 1U << e;
-    if (endpoint.role_ == MemberRole::Primary)
+    if (endpoint.role_ == EndpointRole::Primary)
         entry.afterNewerTerm_ = majorityPromisedAbove(term);
 }
 
@@ -79,7 +79,7 @@
     auto& endpoint = endpoints_[e];
     endpoint.promised_ = term;
     endpoint.promoter_ = promoter;
-    endpoint.role_ = MemberRole::Replica;
+    endpoint.role_ = EndpointRole::Replica;
     endpoint.following_ = -1;
     endpoint.pulling_ = {};
 }
@@ -99,9 +99,9 @@
     case OrderKind::Promote:
         if (!same)
             return false;
-        if (endpoint.role_ == MemberRole::Primary)
+        if (endpoint.role_ == EndpointRole::Primary)
             break;
-        endpoint.role_ = MemberRole::Primary;
+        endpoint.role_ = EndpointRole::Primary;
         endpoint.following_ = -1;
         if (!primaries_.try_emplace(order.term_, e).second && primaries_[order.term_] != e)
             violations_.push_back(Violation::TwoPrimaries);
@@ -110,7 +110,7 @@
     case OrderKind::Follow:
         // Any watcher may say who the primary of a term is; there is only one.
         if (order.term_ < endpoint.promised_
-            || (order.term_ == endpoint.promised_ && endpoint.role_ == MemberRole::Primary))
+            || (order.term_ == endpoint.promised_ && endpoint.role_ == EndpointRole::Primary))
             return false;
         if (order.term_ > endpoint.promised_)
             promise(e, order.term_, order.promoter_);
@@ -134,7 +134,7 @@
     const int primary = endpoint.following_;
     send(MessageKind::Pull, e, primary, 0, [this, e, primary, term = endpoint.promised_, log = endpoint.log_] {
         auto& source = endpoints_[primary];
-        if (source.role_ != MemberRole::Primary || source.promised_ != term)
+        if (source.role_ != EndpointRole::Primary || source.promised_ != term)
             return;
         source.pulling_[e] = true;
         source.pullLogs_[e] = log;
@@ -179,7 +179,7 @@
 inline void Simulation::write(int e, int w, Term term, TimePoint started)
 {
     auto& endpoint = endpoints_[e];
-    if (endpoint.role_ != MemberRole::Primary || endpoint.promised_ != term)
+    if (endpoint.role_ != EndpointRole::Primary || endpoint.promised_ != term)
         return;
     append(e, term);
     const auto position = endpoint.last();
