Open writes and commits in one place and count a write once for the budget

The router set up a write and a commit with the same lines; a write was recorded in the retry budget by the router and again by its state machine, so it earned 20 % instead of 10 % of retries; and a changed instance scheduled the same refresh twice. Ruled out: recording in the router only; the state machine is also used by programs that embed it. After: TransactionTest, SessionTest and FailoverTest pass in release, format and linter are clean on the changed files. The budget's share has no test in the daemon; RetryBudget is tested in WriteAttemptTest.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -275,7 +275,6 @@
 
 void ServeTask::perform(const InstanceChanged& action)
 {
-    const bool gone = action.status_ == InstanceStatus::Dead || action.status_ == InstanceStatus::Leaving;
     if (action.status_ != InstanceStatus::Suspect)
         logInfo("instance " + action.id_.value_ + " is " + std::string(instanceStatusName(action.status_)));
     if (action.status_ == InstanceStatus::Dead) {
@@ -283,8 +282,6 @@
         for (auto& [endpoint, held] : held_)
             held->endInstance(action.id_);
     }
-    if (gone)
-        scheduleRefresh();
     scheduleRefresh();
 }
 
--- a/daemon/request/RequestRouter.cpp
+++ b/daemon/request/RequestRouter.cpp
@@ -143,10 +143,23 @@
     handler(std::move(answer));
 }
 
+void RequestRouter::openWrite(const WritePtr& write, WriteKind kind)
+{
+    ++openRequests_;
+    assignKey(*write);
+    WriteRequest details;
+    details.key_ = callerWriteKey(write->request_.service_, write->request_.key_);
+    details.kind_ = kind;
+    details.keysStored_ = groupSettings(context_.tree_, write->service_.group_).keysStored_;
+    details.deadline_ = write->deadline_;
+    write->state_ = startWrite(std::move(details));
+    writes_[write->service_.group_].insert(write);
+}
+
 void RequestRouter::handle(CallerRequest request, AnswerHandler handler)
 {
-    recordRequest(budget_, Clock::now());
     if (request.readOnly_) {
+        recordRequest(budget_, Clock::now()); // The state machine of a write records its own.
         auto read = std::make_shared<Read>();
         read->handler_ = std::move(handler);
         if (!prepare(request, *read))
@@ -159,15 +172,7 @@
     write->handler_ = std::move(handler);
     if (!prepare(request, *write))
         return;
-    ++openRequests_;
-    const bool keysStored = groupSettings(context_.tree_, write->service_.group_).keysStored_;
-    WriteRequest details;
-    assignKey(*write);
-    details.key_ = callerWriteKey(write->request_.service_, write->request_.key_);
-    details.keysStored_ = keysStored;
-    details.deadline_ = write->deadline_;
-    write->state_ = startWrite(std::move(details));
-    writes_[write->service_.group_].insert(write);
+    openWrite(write, WriteKind::Statements);
     if (const auto route = routeOf(context_.membership_.directory_, write->service_.group_))
         feed(write, WriteRouteChanged { { route->primary_, route->term_ } });
     else
--- a/daemon/request/RequestRouter.h
+++ b/daemon/request/RequestRouter.h
@@ -124,6 +124,8 @@
     void retryRead(const ReadPtr&, Reason);
     EndpointId endpointForRead(const Read&);
 
+    /// Gives a prepared write its key and its state; its first event follows.
+    void openWrite(const WritePtr&, WriteKind);
     void feed(const WritePtr&, const WriteEvent&);
     void tryWrite(const WritePtr&, const WriteRunAt&);
     void writeReplied(const WritePtr&, const WriteRunAt&, ForwardReply);
--- a/daemon/request/RequestTransactions.cpp
+++ b/daemon/request/RequestTransactions.cpp
@@ -151,15 +151,7 @@
     transactions_.erase(transaction);
     if (!prepare(request, *write))
         return;
-    ++openRequests_;
-    WriteRequest details;
-    assignKey(*write);
-    details.key_ = callerWriteKey(write->request_.service_, write->request_.key_);
-    details.kind_ = WriteKind::Commit;
-    details.keysStored_ = groupSettings(context_.tree_, write->service_.group_).keysStored_;
-    details.deadline_ = write->deadline_;
-    write->state_ = startWrite(std::move(details));
-    writes_[write->service_.group_].insert(write);
+    openWrite(write, WriteKind::Commit);
     const auto route = routeOf(context_.membership_.directory_, write->service_.group_);
     feed(write, WriteRouteChanged { { write->endpoint_, route ? route->term_ : 0 } });
 }
