--- /dev/null
+++ b/daemon/connection/EndpointLink.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "LineProtocol.h"
+#include "cassiahollow/connection/SqlSession.h"
+#include "connection/LineChannel.h"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cassiahollow {
+
+/// The whole answer to one statement at an endpoint.
+struct EndpointReply {
+    std::vector<std::string> rows_;
+    std::string signature_; ///< Empty when there was an error.
+    std::optional<platform::EndpointError> error_;
+    platform::SessionMark mark_ { platform::SessionMark::Idle };
+    LogPosition position_;
+};
+
+/// One connection to an endpoint. Answers come in the order of the statements; whatever does not fit ends the
+/// connection, so that an answer never reaches another statement.
+class EndpointLink : public boost::intrusive_ref_counter<EndpointLink, boost::thread_unsafe_counter> {
+public:
+    /// Called with null when the connection ended before the whole answer had arrived.
+    using Done = std::function<void(const EndpointReply*)>;
+
+    struct Target {
+        EndpointId endpoint_;
+        GroupId group_;
+        std::string address_;
+        std::string instance_;
+    };
+    struct Handlers {
+        std::function<void()> ready_; ///< The endpoint has accepted the connection.
+        std::function<void()> closed_; ///< The connection has ended by itself.
+    };
+
+    EndpointLink(LineSockets&, Target, std::chrono::milliseconds connectTime, std::chrono::milliseconds silence, Handlers);
+    ~EndpointLink() { close(); }
+    EndpointLink(const EndpointLink&) = delete;
+    EndpointLink& operator=(const EndpointLink&) = delete;
+
+    /// Sends a line; `done` is called once, unless close() comes first.
+    void exchange(std::string_view line, Done done);
+    /// Ends the connection; the endpoint rolls back what is open on it. Waiting exchanges are told.
+    void close();
+
+    const EndpointId& endpoint() const { return target_.endpoint_; }
+    bool isReady() const { return ready_ && !closed_; }
+    bool isClosed() const { return closed_; }
+    bool isQuiet() const { return waiting_.empty(); }
+    /// Why the endpoint refused the connection, if it did.
+    std::optional<StatementError> refusal() const { return refusal_; }
+
+    ConnectionFit fit_;
+    bool taken_ { false }; ///< A statement or a transaction owns the connection.
+    TimePoint used_; ///< The last use.
+
+private:
+    void handle(const platform::EndpointMessage&);
+    std::size_t receive(std::string_view);
+    void end(bool tellOwner);
+
+    const Target target_;
+    Handlers handlers_;
+    LineChannelPtr channel_;
+    bool ready_ { false };
+    bool closed_ { false };
+    std::optional<StatementError> refusal_;
+    std::deque<Done> waiting_;
+    EndpointReply reply_;
+};
+
+using EndpointLinkPtr = boost::intrusive_ptr<EndpointLink>;
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/connection/HttpCall.cpp
@@ -0,0 +1,172 @@
+#include "connection/HttpCall.h"
+
+#include "connection/HttpListener.h"
+
+#include <stdexcept>
+
+namespace cassiahollow {
+
+namespace {
+
+    constexpr const char* protocolName = "http-call";
+
+} // namespace
+
+// Alive while the loop or the time limit refers to it.
+struct HttpCalls::Call : boost::intrusive_ref_counter<HttpCalls::Call, boost::thread_unsafe_counter> {
+    HttpCallRequest request_;
+    Handler handler_;
+    lws* wsi_ { nullptr };
+    bool bodySent_ { false };
+    HttpCallResult result_;
+
+    void finish()
+    {
+        if (const auto handler = std::exchange(handler_, nullptr))
+            handler(result_);
+    }
+
+    int addHeaders(void* in, std::size_t length)
+    {
+        auto** position = static_cast<unsigned char**>(in);
+        unsigned char* end = *position + length;
+        const auto add = [&](const std::string& name, const std::string& value) {
+            return lws_add_http_header_by_name(wsi_, reinterpret_cast<const unsigned char*>(name.c_str()),
+                       reinterpret_cast<const unsigned char*>(value.data()), static_cast<int>(value.size()), position, end)
+                != 0;
+        };
+        for (const auto& [name, value] : request_.headers_) {
+            if (add(name, value))
+                return -1;
+        }
+        if (request_.body_.empty())
+            return 0;
+        if (add("content-type:", "application/json") || add("content-length:", std::to_string(request_.body_.size())))
+            return -1;
+        lws_client_http_body_pending(wsi_, 1);
+        lws_callback_on_writable(wsi_);
+        return 0;
+    }
+
+    int writeBody()
+    {
+        if (bodySent_ || request_.body_.empty())
+            return 0;
+        bodySent_ = true;
+        std::string buffer(LWS_PRE, '\0');
+        buffer.append(request_.body_);
+        lws_client_http_body_pending(wsi_, 0);
+        return lws_write(wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, request_.body_.size(),
+                   LWS_WRITE_HTTP_FINAL)
+                < 0
+            ? -1
+            : 0;
+    }
+
+    void readResponse()
+    {
+        result_.status_ = static_cast<int>(lws_http_client_http_response(wsi_));
+        const auto& name = request_.wantedHeader_;
+        if (name.empty())
+            return;
+        const int length = lws_hdr_custom_length(wsi_, name.data(), static_cast<int>(name.size()));
+        if (length <= 0)
+            return;
+        std::string value(static_cast<std::size_t>(length) + 1, '\0');
+        const int copied = lws_hdr_custom_copy(
+            wsi_, value.data(), static_cast<int>(value.size()), name.data(), static_cast<int>(name.size()));
+        value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
+        result_.wantedHeader_ = std::move(value);
+    }
+};
+
+HttpCalls::HttpCalls(EventLoop& loop)
+    : loop_(loop)
+{
+    protocols_[0].name = protocolName;
+    protocols_[0].callback = &HttpCalls::callback;
+    lws_context_creation_info info {};
+    info.port = CONTEXT_PORT_NO_LISTEN;
+    info.protocols = protocols_;
+    info.vhost_name = "http-calls";
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    vhost_ = lws_create_vhost(loop_.context(), &info);
+    if (!vhost_)
+        throw std::runtime_error("libwebsockets could not create the client side of HTTP");
+}
+
+void HttpCalls::call(HttpCallRequest request, std::chrono::milliseconds timeout, Handler handler)
+{
+    const boost::intrusive_ptr<Call> call(new Call);
+    call->request_ = std::move(request);
+    call->handler_ = std::move(handler);
+    const auto parts = splitAddress(call->request_.address_);
+    lws* wsi = nullptr;
+    if (parts) {
+        lws_client_connect_info info {};
+        const std::string host = parts->first;
+        info.context = loop_.context();
+        info.vhost = vhost_;
+        info.address = host.c_str();
+        info.port = parts->second;
+        info.path = call->request_.path_.c_str();
+        info.host = host.c_str();
+        info.origin = host.c_str();
+        info.method = call->request_.method_.c_str();
+        info.protocol = protocolName;
+        info.local_protocol_name = protocolName;
+        info.alpn = "http/1.1";
+        info.userdata = call.get();
+        info.pwsi = &wsi;
+        intrusive_ptr_add_ref(call.get()); // Released in WSI_DESTROY.
+        lws_client_connect_via_info(&info);
+        if (!wsi && call->handler_)
+            intrusive_ptr_release(call.get());
+    }
+    if (!wsi) {
+        // The caller is told later, so that the handler never runs inside call().
+        loop_.schedule(Clock::now(), [call] { call->finish(); });
+        return;
+    }
+    call->wsi_ = wsi;
+    loop_.schedule(Clock::now() + timeout, [call] {
+        if (!call->handler_)
+            return;
+        call->finish();
+        if (call->wsi_)
+            lws_set_timeout(call->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    });
+}
+
+int HttpCalls::callback(lws* wsi, lws_callback_reasons reason, void* user, void* in, std::size_t length)
+{
+    auto* raw = static_cast<Call*>(user);
+    if (!raw)
+        return 0;
+    const boost::intrusive_ptr<Call> call(raw);
+    switch (reason) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        call->wsi_ = wsi;
+        return call->addHeaders(in, length);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return call->writeBody();
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        call->readResponse();
+        call->finish();
+        return -1;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+        call->finish();
+        return 0;
+    case LWS_CALLBACK_WSI_DESTROY:
+        lws_set_wsi_user(wsi, nullptr);
+        call->wsi_ = nullptr;
+        call->finish();
+        intrusive_ptr_release(raw);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+} // namespace cassiahollow
--- a/daemon/connection/HttpListener.cpp
+++ b/daemon/connection/HttpListener.cpp
@@ -35,6 +35,15 @@
         return value;
     }
 
+    const char* methodOf(lws* wsi)
+    {
+        if (lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0)
+            return "POST";
+        if (lws_hdr_total_length(wsi, WSI_TOKEN_PUT_URI) > 0)
+            return "PUT";
+        return lws_hdr_total_length(wsi, WSI_TOKEN_DELETE_URI) > 0 ? "DELETE" : "GET";
+    }
+
     std::string bufferWithPrefix(std::string_view text)
     {
         std::string buffer(LWS_PRE, '\0');
@@ -232,9 +241,8 @@
     request.authorization_ = headerValue(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
     request.query_ = headerValue(wsi, WSI_TOKEN_HTTP_URI_ARGS);
     request.session_ = customHeaderValue(wsi, "cassiahollow-session:");
-    const bool post = lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0;
-    request.method_ = post ? "POST" : "GET";
-    if (!post)
+    request.method_ = methodOf(wsi);
+    if (request.method_ == "GET" || request.method_ == "DELETE")
         return finishRequest(connection);
     const std::string contentLength = headerValue(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
     if (contentLength.empty() || contentLength == "0")
--- a/daemon/connection/HttpListener.h
+++ b/daemon/connection/HttpListener.h
@@ -16,7 +16,7 @@
 namespace cassiahollow {
 
 struct HttpRequest {
-    std::string method_; ///< "GET" or "POST".
+    std::string method_; ///< "GET", "POST", "PUT" or "DELETE".
     std::string path_; ///< Without the query.
     std::string query_;
     std::string authorization_; ///< The Authorization header, empty if there is none.
--- /dev/null
+++ b/daemon/connection/LineChannel.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "cassiahollow/process/Reasons.h"
+#include "process/EventLoop.h"
+
+#include <boost/leaf.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <functional>
+#include <libwebsockets.h>
+#include <string>
+#include <string_view>
+
+namespace cassiahollow {
+
+/// What the owner of a channel is told; all are called on the loop's thread. The owner may close the channel in any of
+/// them.
+struct LineChannelHandlers {
+    std::function<void()> opened_; ///< Only of channels that this instance opens.
+    /// Unread bytes. Returns how many of them were taken; the rest is offered again with what arrives next.
+    std::function<std::size_t(std::string_view)> received_;
+    std::function<void()> closed_; ///< Last call. Not called after close().
+};
+
+/// One TCP connection of the line protocol, in either direction. Alive as long as somebody holds a pointer or the
+/// socket is open.
+class LineChannel : public boost::intrusive_ref_counter<LineChannel, boost::thread_unsafe_counter> {
+public:
+    ~LineChannel() = default;
+
+    void setHandlers(LineChannelHandlers handlers) { handlers_ = std::move(handlers); }
+    /// Queues bytes. What is queued within one turn of the loop is sent with one call.
+    void send(std::string_view bytes);
+    /// Closes without sending what is queued. The handlers are not called any more.
+    void close();
+    /// Closes once all queued bytes are sent.
+    void closeWhenSent();
+
+    /// Offers again what the owner has not taken.
+    void offer();
+
+    bool isOpen() const { return open_; }
+    std::size_t queuedBytes() const { return outgoing_.size(); }
+
+private:
+    friend class LineSockets;
+    friend class LineListener;
+
+    static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
+    int handle(lws_callback_reasons, const char* in, std::size_t length);
+    int receive(std::string_view);
+    int write();
+    void setSocketTimeouts();
+    void ended();
+
+    lws* wsi_ { nullptr };
+    bool open_ { false };
+    bool ended_ { false };
+    bool abandoned_ { false };
+    bool closing_ { false };
+    std::string incoming_; ///< Bytes that the owner has not taken yet.
+    std::string outgoing_;
+    std::chrono::milliseconds silence_ { 0 };
+    LineChannelHandlers handlers_;
+};
+
+using LineChannelPtr = boost::intrusive_ptr<LineChannel>;
+
+/// Opens channels to endpoints.
+class LineSockets {
+public:
+    explicit LineSockets(EventLoop&);
+    LineSockets(const LineSockets&) = delete;
+    LineSockets& operator=(const LineSockets&) = delete;
+
+    /// Starts to connect. closed_ is called if the connection is not open within `timeout`; `silence` is how long sent
+    /// bytes may stay unacknowledged by the other end before the connection counts as lost.
+    LineChannelPtr open(const std::string& address, std::chrono::milliseconds timeout,
+        std::chrono::milliseconds silence, LineChannelHandlers);
+
+private:
+    EventLoop& loop_;
+    lws_protocols protocols_[2] {};
+    lws_vhost* vhost_ { nullptr };
+};
+
+/// Accepts channels of clients.
+class LineListener {
+public:
+    using Accept = std::function<void(const LineChannelPtr&)>;
+
+    /// `accept` has to set the channel's handlers.
+    LineListener(EventLoop&, std::string address, std::size_t maxConnections, Accept);
+    LineListener(const LineListener&) = delete;
+    LineListener& operator=(const LineListener&) = delete;
+
+    /// Errors: the address is not free or not valid.
+    boost::leaf::result<void> start();
+    std::size_t openConnections() const { return openConnections_; }
+
+private:
+    static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
+
+    EventLoop& loop_;
+    const std::string address_;
+    const std::size_t maxConnections_;
+    const Accept accept_;
+    std::string host_;
+    std::size_t openConnections_ { 0 };
+    lws_protocols protocols_[2] {};
+    lws_vhost* vhost_ { nullptr };
+};
+
+} // namespace cassiahollow
--- a/daemon/process/Commands.h
+++ b/daemon/process/Commands.h
@@ -18,6 +18,8 @@
 int runCheck(const std::string& fileName);
 /// Runs an instance until it is told to shut down.
 int runServe(const std::string& fileName);
+/// Runs an entry instance or a control member of the line protocol until it is told to shut down.
+int runNode(const std::string& fileName);
 /// Sends a command of an operator to an instance.
 int runControlCommand(const std::vector<std::string>& words);
 
--- /dev/null
+++ b/daemon/process/ControlHost.cpp
@@ -0,0 +1,557 @@
+#include "process/ControlHost.h"
+
+#include "Documents.h"
+#include "process/EventLog.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <set>
+#include <xxhash.h>
+
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t mailboxCapacity = 20000;
+    // The rate at which the duty and the members are looked after.
+    constexpr auto tickInterval = 50ms;
+    // Callers give a member one second; an answer within this time still reaches them.
+    constexpr auto callTime = 850ms;
+    // A member acknowledges only while it was in contact with the leader within this time: two elections.
+    constexpr auto contactTime = 1200ms;
+    // Records of all endpoints are sent to the other members at this interval, in case a message was lost.
+    constexpr auto spreadInterval = 1s;
+    // An entry instance that has not asked for this long gets no pushes and does not count.
+    constexpr auto instanceLifetime = 3s;
+    // A member that is not heard for this long may have a connection that has gone silent.
+    constexpr auto memberSilence = 1500ms;
+    constexpr auto storageRetry = 500ms;
+    // Entries after which a snapshot is written, and entries kept behind it: a catalog of 350 routes has about 90 KB.
+    constexpr std::uint64_t snapshotAfter = 100;
+    constexpr std::uint64_t keptEntries = 20;
+    // Three heartbeats fit into it; the callers' second holds an election and a change.
+    constexpr auto electionTimeout = 400ms;
+    constexpr auto heartbeatInterval = 120ms;
+
+    HttpReply statusReply(int status, std::string body = "{}")
+    {
+        return { status, std::move(body) };
+    }
+
+    std::string documentKey(std::uint64_t version, const std::string& document)
+    {
+        return "catalog-" + std::to_string(version) + "-"
+            + std::to_string(XXH3_64bits(document.data(), document.size()));
+    }
+
+} // namespace
+
+ControlHost::ControlHost(NodeSettings settings, Incarnation incarnation)
+    : settings_(std::move(settings))
+    , incarnation_(incarnation)
+    , self_(settings_.peers_)
+    , mailbox_(mailboxCapacity, [this] { loop_.wake(); })
+    , peers_({ self_, incarnation, settings_.peers_, settings_.deploymentKey_ },
+          [this](PeerMessage message) { mailbox_.post(std::move(message)); },
+          [this](Reason reason) { metrics_.count(reason); })
+    , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
+          registry_,
+          [this](const GrantChange& grant) {
+              const auto key = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
+              submit(ControlChange { key, grant }, { .grant_ = grant.group_ });
+          })
+    , started_(Clock::now())
+{
+    loop_.setWakeHandler([this] { receiveAll(); });
+}
+
+ControlHost::~ControlHost()
+{
+    if (control_)
+        control_->stop();
+}
+
+boost::leaf::result<void> ControlHost::start()
+{
+    BOOST_LEAF_CHECK(peers_.start());
+    const auto listener = [this](std::string name, const std::string& address) {
+        HttpHandlers handlers;
+        handlers.request_ = [this](const HttpConnectionPtr& c, const HttpRequest& r) { handleCall(c, r); };
+        handlers.count_ = [this](Reason reason) { metrics_.count(reason); };
+        return std::make_unique<HttpListener>(
+            loop_, HttpListenerOptions { .name_ = std::move(name), .address_ = address }, std::move(handlers));
+    };
+    operators_ = listener("operators", settings_.operators_);
+    BOOST_LEAF_CHECK(operators_->start());
+    if (!settings_.metrics_.empty()) {
+        metricsListener_ = listener("metrics", settings_.metrics_);
+        BOOST_LEAF_CHECK(metricsListener_->start());
+    }
+    startControl();
+    for (const auto& member : otherMembers())
+        sendDirectory(member, RegistryUpdate { {}, true });
+    tick();
+    LogLine(LogKind::Lifecycle, "started").with("role", "control").with("peers", settings_.peers_);
+    return {};
+}
+
+void ControlHost::run()
+{
+    loop_.run();
+    LogLine(LogKind::Lifecycle, "stopped").with("role", "control");
+}
+
+void ControlHost::startControl()
+{
+    ControlTaskOptions options;
+    options.instance_ = self_;
+    for (const auto& seed : settings_.seeds_)
+        options.listed_.emplace_back(peerAddressOf(settings_, seed));
+    options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
+    options.log_.mayFound_ = settings_.mayFound_;
+    options.log_.admitsUnknown_ = true;
+    options.log_.snapshotAfter_ = snapshotAfter;
+    options.log_.keptEntries_ = keptEntries;
+    options.log_.electionTimeout_ = electionTimeout;
+    options.log_.heartbeatInterval_ = heartbeatInterval;
+    options.log_.helloInterval_ = 250ms;
+    options.seed_ = incarnation_ ^ std::hash<InstanceId>()(self_);
+    ControlTaskCallbacks callbacks;
+    callbacks.send_ = [this](const InstanceId& recipient, std::string body) {
+        mailbox_.post(Send { recipient, std::move(body) });
+    };
+    callbacks.settingsApplied_ = [](const auto&) {};
+    callbacks.groupApplied_ = [](const auto&, const auto&) {};
+    callbacks.catalogApplied_
+        = [this](std::shared_ptr<const CatalogDocument> catalog) { mailbox_.post(CatalogApplied { std::move(catalog) }); };
+    callbacks.answered_ = [this](std::uint64_t token, const ChangeOutcome& outcome,
+                              const std::shared_ptr<const SettingsTree>&) { mailbox_.post(Answered { token, outcome }); };
+    callbacks.statusChanged_ = [this](const ControlStatus& status) { mailbox_.post(status); };
+    callbacks.dropped_ = [this](Reason reason) { metrics_.count(reason); };
+    callbacks.failed_ = [this](const Failure& failure) { mailbox_.post(StorageLost { failure }); };
+    control_ = std::make_unique<ControlTask>(std::move(options), std::move(callbacks));
+    const auto failed = [this](const Failure& failure) {
+        LogLine(LogKind::Dependency, "storage_lost").with("detail", failureMessage(failure));
+        control_.reset();
+        loop_.schedule(Clock::now() + storageRetry, [this] { startControl(); });
+    };
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(control_->start());
+            return {};
+        },
+        failed, [&] { failed({ Reason::StorageFailed, "unknown error" }); });
+}
+
+void ControlHost::receiveAll()
+{
+    for (auto& message : mailbox_.take())
+        std::visit([this](const auto& body) { receive(body); }, message);
+}
+
+void ControlHost::receive(const Shutdown&)
+{
+    LogLine(LogKind::Lifecycle, "stopping").with("role", "control");
+    duty_.setLeading(false);
+    if (control_)
+        control_->stop();
+    loop_.stop();
+}
+
+void ControlHost::receive(const Reload& reload)
+{
+    settings_.seeds_ = reload.settings_.seeds_;
+    LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
+}
+
+void ControlHost::receive(const PeerMessage& message)
+{
+    const InstanceId sender(message.senderAddress_);
+    if (message.kind_ == PeerMessageKind::Control) {
+        members_[sender].heard_ = Clock::now();
+        if (control_)
+            control_->post(ControlTask::PeerMessage { message.sender_, message.body_ });
+        return;
+    }
+    if (message.kind_ != PeerMessageKind::Directory)
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(decoded, decodeDirectoryMessage(message.body_, Clock::now()));
+            std::visit([&](const auto& body) { receiveDirectory(sender, body); }, decoded);
+            return {};
+        },
+        [this](const Failure& failure) { metrics_.count(failure.reason_); },
+        [this] { metrics_.count(Reason::MessageMalformed); });
+}
+
+void ControlHost::receive(const Send& message)
+{
+    peers_.send(message.recipient_.value_, PeerMessageKind::Control, message.body_);
+}
+
+void ControlHost::receive(const CatalogApplied& message)
+{
+    if (document_ && document_->version_ >= message.catalog_->version_)
+        return;
+    document_ = message.catalog_;
+    LogLine(LogKind::Belief, "catalog_applied").with("version", document_->version_);
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(document_->document_));
+            duty_.setCatalog(std::make_shared<const RouteCatalog>(std::move(catalog)));
+            return {};
+        },
+        [this](const Failure& failure) { metrics_.count(failure.reason_); },
+        [this] { metrics_.count(Reason::SettingsInvalid); });
+    answerReads();
+    pushFeeds();
+}
+
+void ControlHost::receive(const Answered& message)
+{
+    const auto found = calls_.find(message.token_);
+    if (found == calls_.end())
+        return;
+    auto& call = found->second;
+    const bool done = message.outcome_.outcome_ == Outcome::Done;
+    if (call.grant_) {
+        const auto group = *call.grant_;
+        calls_.erase(found);
+        duty_.granted(group, done ? std::optional(message.outcome_.revision_) : std::nullopt);
+        return;
+    }
+    if (done && call.isRead_) {
+        call.wantedVersion_ = std::max<std::uint64_t>(message.outcome_.catalogVersion_, 1);
+        answerReads();
+        return;
+    }
+    if (!done && message.outcome_.reason_)
+        metrics_.count(*message.outcome_.reason_);
+    if (!call.isRead_) {
+        LogLine(LogKind::Belief, "change_answered")
+            .with("outcome", outcomeName(message.outcome_.outcome_))
+            .with("version", message.outcome_.revision_)
+            .with("detail", message.outcome_.detail_);
+    }
+    call.connection_->reply(statusReply(done ? 200 : 503));
+    calls_.erase(found);
+}
+
+void ControlHost::receive(const ControlStatus& status)
+{
+    if (status.leader_ != status_.leader_ || status.members_ != status_.members_) {
+        LogLine line(LogKind::Belief, "control_status");
+        line.with("leader", status.leader_.value_).with("term", status.term_);
+        std::string members;
+        for (const auto& member : status.members_)
+            members.append(members.empty() ? "" : ",").append(member.instance_.value_).append(member.voter_ ? "" : "?");
+        line.with("members", members);
+    }
+    status_ = status;
+    for (const auto& member : status_.members_) {
+        if (member.instance_ != self_)
+            members_.try_emplace(member.instance_);
+    }
+    duty_.setLeading(status.role_ == ControlRole::Leader);
+}
+
+void ControlHost::receive(const StorageLost& message)
+{
+    metrics_.count(message.failure_.reason_);
+    LogLine(LogKind::Dependency, "storage_lost").with("detail", failureMessage(message.failure_));
+    duty_.setLeading(false);
+    status_ = {};
+    control_->stop();
+    control_.reset();
+    loop_.schedule(Clock::now() + storageRetry, [this] { startControl(); });
+}
+
+void ControlHost::receiveDirectory(const InstanceId& sender, const FeedRequest& request)
+{
+    auto& instance = instances_[sender];
+    instance.asked_ = Clock::now();
+    instance.takesRequests_ = request.takesRequests_;
+    instance.registryMark_ = request.registryMark_;
+    instance.catalogVersion_ = request.catalogVersion_;
+    if (request.missesAnswers_)
+        peers_.reconnect(sender.value_);
+    auto answer = feedFor(sender, instance);
+    answer.number_ = request.number_;
+    sendDirectory(sender, answer);
+    if (request.reports_.empty())
+        return;
+    if (status_.role_ == ControlRole::Leader)
+        duty_.reported(sender, request.reports_);
+    else if (!status_.leader_.empty())
+        sendDirectory(status_.leader_, ReportRelay { sender, request.reports_ });
+}
+
+void ControlHost::receiveDirectory(const InstanceId&, const FeedAnswer&)
+{
+    metrics_.count(Reason::MessageMalformed); // Only entry instances ask.
+}
+
+void ControlHost::receiveDirectory(const InstanceId& sender, const RegistryUpdate& update)
+{
+    const auto now = Clock::now();
+    auto& member = members_[sender];
+    member.heard_ = now;
+    member.instances_ = update.instances_;
+    if (update.missesRecipient_ && now - member.reconnected_ > memberSilence) {
+        member.reconnected_ = now;
+        peers_.reconnect(sender.value_);
+    }
+    if (update.wantsAll_) {
+        RegistryUpdate all;
+        for (const auto& [id, record] : registry_.records_)
+            all.records_.push_back(record);
+        sendDirectory(sender, all);
+    }
+    bool changed = false;
+    for (const auto& record : update.records_)
+        changed |= mergeRecord(registry_, record) == RegistryMerge::Changed;
+    registryKnown_ |= !update.records_.empty();
+    if (changed)
+        registryChanged();
+}
+
+void ControlHost::receiveDirectory(const InstanceId&, const ReportRelay& relay)
+{
+    if (status_.role_ == ControlRole::Leader)
+        duty_.reported(relay.instance_, relay.reports_);
+}
+
+void ControlHost::handleCall(const HttpConnectionPtr& connection, const HttpRequest& request)
+{
+    if (request.path_ == platform::configurationPath) {
+        if (request.method_ == "PUT")
+            return putCatalog(connection, request.body_);
+        if (request.method_ == "GET")
+            return getCatalog(connection);
+    }
+    if (request.path_.starts_with(platform::instancePathPrefix)) {
+        const auto id = request.path_.substr(platform::instancePathPrefix.size());
+        if (request.method_ == "PUT")
+            return putHeartbeat(connection, id, request.body_);
+        if (request.method_ == "DELETE")
+            return deleteEndpoint(connection, id);
+    }
+    if (request.path_ == "/metrics" && request.method_ == "GET")
+        return connection->reply({ 200, metrics_.render(), "text/plain" });
+    connection->reply(statusReply(404));
+}
+
+void ControlHost::putCatalog(const HttpConnectionPtr& connection, const std::string& document)
+{
+    std::uint64_t version = 0;
+    const bool valid = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(document));
+            BOOST_LEAF_CHECK(checkCatalog(catalog));
+            version = catalog.version_;
+            return true;
+        },
+        [&](const Failure& failure) {
+            metrics_.count(failure.reason_);
+            LogLine(LogKind::Refusal, "catalog_refused").with("detail", failureMessage(failure));
+            return false;
+        },
+        [] { return false; });
+    if (!valid)
+        return connection->reply(statusReply(400, "{\"error\":\"invalid\"}"));
+    // What is applied here is committed, and stays below every later version.
+    if (document_ && version <= document_->version_)
+        return connection->reply(statusReply(200));
+    submit(ControlChange { documentKey(version, document), CatalogChange { { version, document } } },
+        { .connection_ = connection });
+}
+
+void ControlHost::getCatalog(const HttpConnectionPtr& connection)
+{
+    submit(ControlRead {}, { .connection_ = connection, .isRead_ = true });
+}
+
+std::uint64_t ControlHost::submit(ControlRequest request, PendingCall call)
+{
+    const auto token = nextToken_++;
+    call.deadline_ = Clock::now() + callTime;
+    calls_.emplace(token, std::move(call));
+    if (!control_ || !control_->post(LocalRequest { token, std::move(request) }))
+        receive(Answered { token, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, "no control task") });
+    return token;
+}
+
+void ControlHost::replyCatalog(const HttpConnectionPtr& connection)
+{
+    connection->reply(document_ ? statusReply(200, document_->document_) : statusReply(503));
+}
+
+void ControlHost::answerReads()
+{
+    std::erase_if(calls_, [&](const auto& item) {
+        const auto& call = item.second;
+        if (!call.isRead_ || call.wantedVersion_ == 0 || !document_ || document_->version_ < call.wantedVersion_)
+            return false;
+        replyCatalog(call.connection_);
+        return true;
+    });
+}
+
+void ControlHost::putHeartbeat(const HttpConnectionPtr& connection, const std::string& id, const std::string& body)
+{
+    std::optional<EndpointRecord> record;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat(id, body, Clock::now()));
+            return {};
+        },
+        [this](const Failure& failure) {
+            metrics_.count(failure.reason_);
+            LogLine(LogKind::Refusal, "heartbeat_refused").with("detail", failureMessage(failure));
+        },
+        [this] { metrics_.count(Reason::MalformedRequest); });
+    if (!record)
+        return connection->reply(statusReply(400));
+    const auto merged = mergeRecord(registry_, *record);
+    if (merged != RegistryMerge::Stale)
+        spread({ registry_.records_.at(record->id_) });
+    if (merged == RegistryMerge::Changed)
+        registryChanged();
+    // Without a majority the report may not reach all instances; the endpoint tries another member.
+    connection->reply(statusReply(inContact() ? 200 : 503, platform::heartbeatAnswer()));
+}
+
+void ControlHost::deleteEndpoint(const HttpConnectionPtr& connection, const std::string& id)
+{
+    if (removeRecord(registry_, EndpointId(id), Clock::now()) == RegistryMerge::Changed) {
+        spread({ registry_.records_.at(EndpointId(id)) });
+        registryChanged();
+    }
+    connection->reply(statusReply(200));
+}
+
+bool ControlHost::inContact() const
+{
+    return control_ && Clock::now() - control_->lastContact() < contactTime;
+}
+
+std::vector<InstanceId> ControlHost::otherMembers() const
+{
+    std::set<InstanceId> members;
+    for (const auto& seed : settings_.seeds_)
+        members.emplace(peerAddressOf(settings_, seed));
+    for (const auto& member : status_.members_)
+        members.insert(member.instance_);
+    members.erase(self_);
+    return { members.begin(), members.end() };
+}
+
+std::vector<InstanceId> ControlHost::entryInstances() const
+{
+    std::set<InstanceId> all;
+    const auto now = Clock::now();
+    for (const auto& [id, instance] : instances_) {
+        if (instance.takesRequests_ && now - instance.asked_ < instanceLifetime)
+            all.insert(id);
+    }
+    for (const auto& [id, member] : members_) {
+        if (now - member.heard_ < instanceLifetime)
+            all.insert(member.instances_.begin(), member.instances_.end());
+    }
+    return { all.begin(), all.end() };
+}
+
+void ControlHost::sendDirectory(const InstanceId& recipient, const DirectoryMessage& message)
+{
+    peers_.send(recipient.value_, PeerMessageKind::Directory, encodeDirectoryMessage(message, Clock::now()));
+}
+
+void ControlHost::spread(std::vector<EndpointRecord> records)
+{
+    const RegistryUpdate update { std::move(records), false, false, entryInstances() };
+    for (const auto& member : otherMembers())
+        sendDirectory(member, update);
+}
+
+void ControlHost::registryChanged()
+{
+    pushFeeds();
+    duty_.tick();
+}
+
+std::string ControlHost::registryMark() const
+{
+    return self_.value_ + "/" + std::to_string(incarnation_) + "/" + std::to_string(registry_.revision_);
+}
+
+FeedAnswer ControlHost::feedFor(const InstanceId& id, EntryInstance& instance) const
+{
+    FeedAnswer answer;
+    answer.confirmed_ = inContact();
+    answer.catalogVersion_ = document_ ? document_->version_ : 0;
+    if (document_ && document_->version_ > instance.catalogVersion_)
+        answer.catalog_ = document_;
+    answer.registryMark_ = registryMark();
+    // A member that has just started does not know all endpoints yet.
+    if (registryKnown_ && instance.registryMark_ != answer.registryMark_) {
+        answer.records_.emplace();
+        for (const auto& [endpoint, record] : registry_.records_)
+            answer.records_->push_back(record);
+    }
+    answer.leader_ = status_.leader_;
+    for (const auto& member : status_.members_)
+        answer.members_.push_back(member.instance_);
+    const auto all = entryInstances();
+    answer.instances_ = all.size();
+    answer.rank_ = static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), id) - all.begin());
+    return answer;
+}
+
+void ControlHost::pushFeeds()
+{
+    const auto now = Clock::now();
+    for (auto& [id, instance] : instances_) {
+        if (now - instance.asked_ > instanceLifetime)
+            continue;
+        const auto answer = feedFor(id, instance);
+        sendDirectory(id, answer);
+        instance.registryMark_ = answer.registryMark_;
+        instance.catalogVersion_ = std::max(instance.catalogVersion_, answer.catalogVersion_);
+    }
+}
+
+void ControlHost::tick()
+{
+    const auto now = Clock::now();
+    expireRecords(registry_, now);
+    registryKnown_ |= now - started_ > 2 * settings_.heartbeat_;
+    std::erase_if(calls_, [&](const auto& item) {
+        if (item.second.grant_ || now < item.second.deadline_)
+            return false;
+        item.second.connection_->reply(statusReply(503));
+        return true;
+    });
+    std::erase_if(instances_, [&](const auto& item) { return now - item.second.asked_ > registryLifetime; });
+    if (now >= nextSpread_) {
+        nextSpread_ = now + spreadInterval;
+        RegistryUpdate update { {}, false, false, entryInstances() };
+        for (const auto& [id, record] : registry_.records_)
+            update.records_.push_back(record);
+        for (const auto& id : otherMembers()) {
+            auto& member = members_[id];
+            update.missesRecipient_ = now - member.heard_ > memberSilence;
+            if (update.missesRecipient_ && now - member.reconnected_ > memberSilence) {
+                member.reconnected_ = now;
+                peers_.reconnect(id.value_);
+            }
+            sendDirectory(id, update);
+        }
+    }
+    duty_.tick();
+    loop_.schedule(now + tickInterval, [this] { tick(); });
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/ControlHost.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/process/Mailbox.h"
+#include "cassiahollow/process/Metrics.h"
+#include "connection/HttpListener.h"
+#include "process/EventLoop.h"
+#include "process/NodeSettings.h"
+#include "process/PeerTask.h"
+#include "version/ControlTask.h"
+#include "version/DutyRunner.h"
+
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace cassiahollow {
+
+/// A control member of a deployment that speaks the line protocol: keeps its part of the control log, takes the
+/// operator's configurations and the endpoints' reports, feeds the entry instances, and holds the promotion duty while
+/// it leads. Owns the loop of its process.
+class ControlHost {
+public:
+    ControlHost(NodeSettings, Incarnation);
+    ~ControlHost();
+    ControlHost(const ControlHost&) = delete;
+    ControlHost& operator=(const ControlHost&) = delete;
+
+    boost::leaf::result<void> start();
+    /// Runs until a shutdown is posted.
+    void run();
+
+    struct Shutdown { };
+    struct Reload {
+        NodeSettings settings_;
+    };
+    /// Any thread.
+    void post(Shutdown message) { mailbox_.post(message); }
+    void post(Reload message) { mailbox_.post(std::move(message)); }
+
+private:
+    // Messages of the control task's thread.
+    struct Send {
+        InstanceId recipient_;
+        std::string body_;
+    };
+    struct CatalogApplied {
+        std::shared_ptr<const CatalogDocument> catalog_;
+    };
+    struct Answered {
+        std::uint64_t token_;
+        ChangeOutcome outcome_;
+    };
+    struct StorageLost {
+        Failure failure_;
+    };
+    using Message = std::variant<Shutdown, Reload, PeerMessage, Send, CatalogApplied, Answered, ControlStatus, StorageLost>;
+
+    /// An operator's call that waits for the control log.
+    struct PendingCall {
+        HttpConnectionPtr connection_;
+        std::uint64_t wantedVersion_ { 0 }; ///< A read: answered once this version is applied here. 0: not known yet.
+        bool isRead_ { false };
+        std::optional<GroupId> grant_; ///< Set: no call, but a grant that the duty waits for.
+        TimePoint deadline_;
+    };
+    struct EntryInstance {
+        TimePoint asked_;
+        std::string registryMark_;
+        std::uint64_t catalogVersion_ { 0 };
+        bool takesRequests_ { true };
+    };
+    struct Member {
+        TimePoint heard_;
+        TimePoint reconnected_;
+        std::vector<InstanceId> instances_; ///< Entry instances that asked it lately.
+    };
+
+    void startControl();
+    void receiveAll();
+    void receive(const Shutdown&);
+    void receive(const Reload&);
+    void receive(const PeerMessage&);
+    void receive(const Send&);
+    void receive(const CatalogApplied&);
+    void receive(const Answered&);
+    void receive(const ControlStatus&);
+    void receive(const StorageLost&);
+
+    void receiveDirectory(const InstanceId& sender, const FeedRequest&);
+    void receiveDirectory(const InstanceId& sender, const FeedAnswer&);
+    void receiveDirectory(const InstanceId& sender, const RegistryUpdate&);
+    void receiveDirectory(const InstanceId& sender, const ReportRelay&);
+
+    void handleCall(const HttpConnectionPtr&, const HttpRequest&);
+    void putCatalog(const HttpConnectionPtr&, const std::string& document);
+    void getCatalog(const HttpConnectionPtr&);
+    void putHeartbeat(const HttpConnectionPtr&, const std::string& id, const std::string& body);
+    void deleteEndpoint(const HttpConnectionPtr&, const std::string& id);
+    std::uint64_t submit(ControlRequest, PendingCall);
+    void replyCatalog(const HttpConnectionPtr&);
+    void answerReads();
+
+    void tick();
+    bool inContact() const;
+    std::vector<InstanceId> otherMembers() const;
+    std::vector<InstanceId> entryInstances() const;
+    void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
+    void spread(std::vector<EndpointRecord>);
+    void registryChanged();
+    void pushFeeds();
+    FeedAnswer feedFor(const InstanceId&, EntryInstance&) const;
+    std::string registryMark() const;
+
+    NodeSettings settings_;
+    const Incarnation incarnation_;
+    const InstanceId self_;
+    EventLoop loop_;
+    Metrics metrics_;
+    Mailbox<Message> mailbox_;
+    PeerTask peers_;
+    EndpointRegistry registry_;
+    std::unique_ptr<HttpListener> operators_;
+    std::unique_ptr<HttpListener> metricsListener_;
+    DutyRunner duty_;
+    std::unique_ptr<ControlTask> control_;
+    ControlStatus status_;
+    std::shared_ptr<const CatalogDocument> document_;
+    std::map<std::uint64_t, PendingCall> calls_;
+    std::uint64_t nextToken_ { 1 };
+    std::map<InstanceId, EntryInstance> instances_;
+    std::map<InstanceId, Member> members_;
+    TimePoint nextSpread_;
+    bool registryKnown_ { false }; ///< Another member has sent its records, or there was time for all endpoints to report.
+    TimePoint started_;
+};
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/GatewayTask.cpp
@@ -0,0 +1,218 @@
+#include "process/GatewayTask.h"
+
+#include "Documents.h"
+#include "process/EventLog.h"
+
+#include <algorithm>
+
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t mailboxCapacity = 5000;
+    // A change of the catalog is pushed; this is how long one takes whose push was lost.
+    constexpr auto askInterval = 250ms;
+    // Without answers to this many questions in a row, another member is asked.
+    constexpr std::uint64_t unansweredLimit = 2;
+    // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
+    constexpr std::size_t reservedFiles = 400;
+    // The time before the forced end that is left for the process to end by itself.
+    constexpr auto shutdownMargin = 700ms;
+    constexpr auto shutdownCheck = 50ms;
+    // The platform notices after two questions; until then new sessions arrive and are served.
+    constexpr auto shutdownLeast = 2500ms;
+
+} // namespace
+
+GatewayTask::GatewayTask(NodeSettings settings, Incarnation incarnation)
+    : settings_(std::move(settings))
+    , mailbox_(mailboxCapacity, [this] { loop_.wake(); })
+    , peers_({ InstanceId(settings_.peers_), incarnation, settings_.peers_, settings_.deploymentKey_ },
+          [this](PeerMessage message) { mailbox_.post(std::move(message)); },
+          [this](Reason reason) { metrics_.count(reason); })
+    , gateway_(loop_, metrics_, { settings_.name_, settings_.dataCentre_ })
+    , clients_(loop_, settings_.statements_,
+          settings_.maximumFiles_ > 2 * reservedFiles ? settings_.maximumFiles_ - reservedFiles : settings_.maximumFiles_ / 2,
+          [this](const LineChannelPtr& channel) { gateway_.accept(channel); })
+{
+    loop_.setWakeHandler([this] { receiveAll(); });
+    gateway_.setSuspicionHandler([this] {
+        loop_.schedule(Clock::now() + 160ms, [this] { askNow(); });
+    });
+}
+
+boost::leaf::result<void> GatewayTask::start()
+{
+    BOOST_LEAF_CHECK(peers_.start());
+    const auto listener = [this](std::string name, const std::string& address) {
+        HttpHandlers handlers;
+        handlers.request_ = [this](const HttpConnectionPtr& c, const HttpRequest& r) { handleCall(c, r); };
+        handlers.count_ = [this](Reason reason) { metrics_.count(reason); };
+        return std::make_unique<HttpListener>(
+            loop_, HttpListenerOptions { .name_ = std::move(name), .address_ = address }, std::move(handlers));
+    };
+    if (!settings_.readiness_.empty()) {
+        readiness_ = listener("readiness", settings_.readiness_);
+        BOOST_LEAF_CHECK(readiness_->start());
+    }
+    if (!settings_.metrics_.empty()) {
+        metricsListener_ = listener("metrics", settings_.metrics_);
+        BOOST_LEAF_CHECK(metricsListener_->start());
+    }
+    BOOST_LEAF_CHECK(clients_.start());
+    ask();
+    LogLine(LogKind::Lifecycle, "started").with("role", "entry").with("peers", settings_.peers_);
+    return {};
+}
+
+void GatewayTask::run()
+{
+    loop_.run();
+    LogLine(LogKind::Lifecycle, "stopped")
+        .with("role", "entry")
+        .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()));
+}
+
+void GatewayTask::receiveAll()
+{
+    for (auto& message : mailbox_.take())
+        std::visit([this](const auto& body) { receive(body); }, message);
+}
+
+void GatewayTask::receive(const Shutdown&)
+{
+    if (std::exchange(shuttingDown_, true))
+        return;
+    LogLine(LogKind::Lifecycle, "stopping")
+        .with("role", "entry")
+        .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()));
+    shutdownEnd_ = Clock::now() + settings_.shutdown_ - shutdownMargin;
+    gateway_.beginShutdown(settings_.shutdown_ / 2);
+    askNow();
+    loop_.schedule(Clock::now() + shutdownLeast, [this] { finishShutdown(); });
+}
+
+void GatewayTask::finishShutdown()
+{
+    if (gateway_.sessions() == 0 || Clock::now() >= shutdownEnd_)
+        return loop_.stop();
+    loop_.schedule(Clock::now() + shutdownCheck, [this] { finishShutdown(); });
+}
+
+void GatewayTask::receive(const Reload& reload)
+{
+    settings_.seeds_ = reload.settings_.seeds_;
+    LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
+}
+
+void GatewayTask::receive(const PeerMessage& message)
+{
+    if (message.kind_ != PeerMessageKind::Directory)
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_AUTO(decoded, decodeDirectoryMessage(message.body_, suspendAwareNow()));
+            if (const auto* answer = std::get_if<FeedAnswer>(&decoded))
+                receiveFeed(InstanceId(message.senderAddress_), *answer);
+            return {};
+        },
+        [this](const Failure& failure) { metrics_.count(failure.reason_); },
+        [this] { metrics_.count(Reason::MessageMalformed); });
+}
+
+void GatewayTask::receiveFeed(const InstanceId& sender, const FeedAnswer& answer)
+{
+    if (sender == member_ && answer.number_ > 0) {
+        unanswered_ = 0;
+        if (answer.confirmed_) {
+            if (!std::exchange(hasBeenConfirmed_, true))
+                LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
+            confirmed_ = askedAt_;
+        } else {
+            // Cut off from the majority: what it says may be old.
+            chooseMember();
+        }
+    }
+    if (answer.catalog_ && answer.catalog_->version_ > gateway_.catalogVersion()) {
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(answer.catalog_->document_));
+                gateway_.setCatalog(std::make_shared<const RouteCatalog>(std::move(catalog)));
+                return {};
+            },
+            [this](const Failure& failure) { metrics_.count(failure.reason_); },
+            [this] { metrics_.count(Reason::SettingsInvalid); });
+    }
+    if (answer.instances_ > 0)
+        gateway_.setShare(answer.instances_, answer.rank_);
+    if (!answer.members_.empty())
+        members_ = answer.members_;
+    if (answer.records_) {
+        gateway_.setEndpoints(*answer.records_);
+        registryMark_ = answer.registryMark_;
+    }
+}
+
+void GatewayTask::handleCall(const HttpConnectionPtr& connection, const HttpRequest& request)
+{
+    if (request.path_ == platform::readyPath)
+        return connection->reply({ isReady() ? 200 : 503, "{}" });
+    if (request.path_ == "/metrics")
+        return connection->reply({ 200, metrics_.render(), "text/plain" });
+    connection->reply({ 404, "{}" });
+}
+
+bool GatewayTask::isReady() const
+{
+    return !shuttingDown_ && gateway_.hasCatalog() && gateway_.hasEndpoints();
+}
+
+void GatewayTask::chooseMember()
+{
+    std::vector<InstanceId> all = members_;
+    for (const auto& seed : settings_.seeds_) {
+        const InstanceId instance(peerAddressOf(settings_, seed));
+        if (std::find(all.begin(), all.end(), instance) == all.end())
+            all.push_back(instance);
+    }
+    if (all.empty())
+        return;
+    // Instances begin at different members, so that each member feeds its share.
+    if (member_.empty())
+        next_ = std::hash<std::string>()(settings_.peers_);
+    member_ = all[next_++ % all.size()];
+    unanswered_ = 0;
+}
+
+void GatewayTask::askNow()
+{
+    if (member_.empty() || unanswered_ >= unansweredLimit) {
+        if (!member_.empty()) {
+            LogLine(LogKind::Dependency, "control_member_silent").with("member", member_.value_);
+            peers_.reconnect(member_.value_);
+        }
+        chooseMember();
+    }
+    if (member_.empty())
+        return;
+    FeedRequest request;
+    request.number_ = ++number_;
+    request.catalogVersion_ = gateway_.catalogVersion();
+    request.registryMark_ = registryMark_;
+    request.takesRequests_ = !shuttingDown_;
+    request.missesAnswers_ = unanswered_ > 0;
+    request.reports_ = gateway_.reports();
+    askedAt_ = suspendAwareNow();
+    ++unanswered_;
+    peers_.send(member_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
+}
+
+void GatewayTask::ask()
+{
+    askNow();
+    loop_.schedule(Clock::now() + askInterval, [this] { ask(); });
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/GatewayTask.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/process/Mailbox.h"
+#include "cassiahollow/process/Metrics.h"
+#include "connection/HttpListener.h"
+#include "connection/LineChannel.h"
+#include "process/EventLoop.h"
+#include "process/NodeSettings.h"
+#include "process/PeerTask.h"
+#include "request/StatementGateway.h"
+
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace cassiahollow {
+
+/// An entry instance of the line protocol: serves clients, and keeps itself informed by control members. Owns the loop
+/// of its process.
+class GatewayTask {
+public:
+    GatewayTask(NodeSettings, Incarnation);
+    GatewayTask(const GatewayTask&) = delete;
+    GatewayTask& operator=(const GatewayTask&) = delete;
+
+    boost::leaf::result<void> start();
+    /// Runs until a shutdown is over.
+    void run();
+
+    struct Shutdown { };
+    struct Reload {
+        NodeSettings settings_;
+    };
+    /// Any thread.
+    void post(Shutdown message) { mailbox_.post(message); }
+    void post(Reload message) { mailbox_.post(std::move(message)); }
+
+private:
+    using Message = std::variant<Shutdown, Reload, PeerMessage>;
+
+    void receiveAll();
+    void receive(const Shutdown&);
+    void receive(const Reload&);
+    void receive(const PeerMessage&);
+    void receiveFeed(const InstanceId& sender, const FeedAnswer&);
+    void handleCall(const HttpConnectionPtr&, const HttpRequest&);
+    void ask();
+    void askNow();
+    void chooseMember();
+    bool isReady() const;
+    void finishShutdown();
+
+    NodeSettings settings_;
+    EventLoop loop_;
+    Metrics metrics_;
+    Mailbox<Message> mailbox_;
+    PeerTask peers_;
+    StatementGateway gateway_;
+    LineListener clients_;
+    std::unique_ptr<HttpListener> readiness_;
+    std::unique_ptr<HttpListener> metricsListener_;
+
+    std::vector<InstanceId> members_; ///< Control members, as last told.
+    InstanceId member_; ///< The one that is asked.
+    std::size_t next_ { 0 }; ///< The place of the next one to ask.
+    std::uint64_t number_ { 0 };
+    std::uint64_t unanswered_ { 0 }; ///< Questions to member_ without an answer.
+    TimePoint confirmed_; ///< When the last confirmed answer was asked for.
+    TimePoint askedAt_;
+    std::string registryMark_;
+    bool hasBeenConfirmed_ { false };
+    bool shuttingDown_ { false };
+    TimePoint shutdownEnd_;
+};
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/process/NodeSettings.cpp
@@ -0,0 +1,70 @@
+#include "process/NodeSettings.h"
+
+#include "process/SettingsReader.h"
+
+namespace cassiahollow {
+
+namespace {
+
+    void readOptionalAddress(SettingsReader& reader, const std::string& key, std::string& value)
+    {
+        reader.read(key, value, false, "an address ip:port");
+        if (!value.empty())
+            reader.checkAddress(reader.child(key), reader.pathOf(key), value);
+    }
+
+    void readListen(SettingsReader reader, NodeSettings& settings)
+    {
+        readOptionalAddress(reader, "statements", settings.statements_);
+        readOptionalAddress(reader, "readiness", settings.readiness_);
+        readOptionalAddress(reader, "operators", settings.operators_);
+        readOptionalAddress(reader, "metrics", settings.metrics_);
+        reader.readAddress("peers", settings.peers_);
+        reader.refuseUnknownKeys();
+    }
+
+    void readAll(const YAML::Node& root, NodeSettingsFile& file)
+    {
+        auto& settings = file.settings_;
+        SettingsReader reader(root, "", file.errors_);
+        reader.read("instance", settings.name_, true, "the name of this machine");
+        reader.read("data_centre", settings.dataCentre_.value_, true, "the data centre of this instance");
+        readListen(reader.map("listen"), settings);
+        reader.read("seeds", settings.seeds_, false, "a list of addresses ip:port");
+        for (const auto& seed : settings.seeds_)
+            reader.checkAddress(reader.child("seeds"), "seeds", seed);
+        reader.read("deployment_key", settings.deploymentKey_, true, "a secret shared by all instances");
+        reader.read("data_folder", settings.dataFolder_, false, "a folder on a disk of this instance");
+        reader.read("may_found", settings.mayFound_, false, "true or false");
+        readOptionalAddress(reader, "authority", settings.authority_);
+        reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
+        reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
+        reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
+        reader.refuseUnknownKeys();
+        if (settings.statements_.empty() == settings.operators_.empty())
+            reader.fail(root, "listen", "needs either statements or operators; set one of them");
+        if (!settings.operators_.empty() && settings.dataFolder_.empty())
+            reader.fail(root, "data_folder", "is missing on a control member; name a folder on a disk");
+    }
+
+} // namespace
+
+NodeSettingsFile loadNodeSettings(const std::string& fileName)
+{
+    NodeSettingsFile file;
+    try {
+        readAll(YAML::LoadFile(fileName), file);
+    } catch (const YAML::BadFile&) {
+        file.errors_.push_back({ 0, "", "cannot be read; check the name and the permissions" });
+    } catch (const YAML::ParserException& error) {
+        file.errors_.push_back({ error.mark.line + 1, "", "is not YAML: " + error.msg + "; correct this line" });
+    }
+    return file;
+}
+
+std::string peerAddressOf(const NodeSettings& settings, const std::string& seed)
+{
+    return seed.substr(0, seed.rfind(':')) + settings.peers_.substr(settings.peers_.rfind(':'));
+}
+
+} // namespace cassiahollow
--- a/daemon/process/ProcessSettings.cpp
+++ b/daemon/process/ProcessSettings.cpp
@@ -1,6 +1,6 @@
 #include "process/ProcessSettings.h"
 
-#include "connection/HttpListener.h"
+#include "process/SettingsReader.h"
 
 #include <algorithm>
 #include <set>
@@ -14,100 +14,7 @@
     constexpr std::size_t minDeploymentKeyCharacters = 16;
     constexpr std::size_t maxControlMembers = 7;
 
-    /// Reads the keys of one YAML map and remembers which are known, so that a misspelt key is an error.
-    class MapReader {
-    public:
-        MapReader(YAML::Node node, std::string path, std::vector<SettingsError>& errors)
-            : node_(std::move(node))
-            , path_(std::move(path))
-            , errors_(errors)
-        {
-            if (node_ && !node_.IsMap() && !node_.IsNull())
-                fail(node_, path_, "has to be a map of settings");
-        }
-
-        MapReader map(const std::string& key) { return { child(key), pathOf(key), errors_ }; }
-
-        template <typename Value>
-        void read(const std::string& key, Value& value, bool required, std::string_view meaning)
-        {
-            const YAML::Node node = child(key);
-            if (!node) {
-                if (required)
-                    fail(node_, pathOf(key), "is missing; set it to " + std::string(meaning));
-                return;
-            }
-            try {
-                value = node.as<Value>();
-            } catch (const YAML::Exception&) {
-                fail(node, pathOf(key), "has the wrong type; set it to " + std::string(meaning));
-            }
-        }
-
-        void readMilliseconds(const std::string& key, std::chrono::milliseconds& value, int low, int high)
-        {
-            auto count = value.count();
-            read(key, count, false, "a number of milliseconds");
-            if (count < low || count > high)
-                fail(child(key), pathOf(key),
-                    "is out of range; set it between " + std::to_string(low) + " and " + std::to_string(high) + " ms");
-            value = std::chrono::milliseconds(count);
-        }
-
-        void readCount(const std::string& key, std::size_t& value, std::size_t low, std::size_t high)
-        {
-            read(key, value, false, "a number");
-            if (value < low || value > high)
-                fail(child(key), pathOf(key),
-                    "is out of range; set it between " + std::to_string(low) + " and " + std::to_string(high));
-        }
-
-        void readAddress(const std::string& key, std::string& value)
-        {
-            read(key, value, true, "an address ip:port");
-            if (!value.empty())
-                checkAddress(child(key), pathOf(key), value);
-        }
-
-        void checkAddress(const YAML::Node& node, const std::string& path, const std::string& value)
-        {
-            if (!splitAddress(value))
-                fail(node, path, "is not an address; write ip:port, such as 127.0.0.1:7001");
-        }
-
-        YAML::Node child(const std::string& key)
-        {
-            known_.insert(key);
-            return node_ && node_.IsMap() ? node_[key] : YAML::Node(YAML::NodeType::Undefined);
-        }
-
-        void refuseUnknownKeys()
-        {
-            if (!node_ || !node_.IsMap())
-                return;
-            for (const auto& entry : node_) {
-                const auto key = entry.first.as<std::string>("");
-                if (!known_.count(key))
-                    fail(entry.first, pathOf(key), "is not a setting; remove it or correct its name");
-            }
-        }
-
-        void fail(const YAML::Node& node, const std::string& path, std::string message)
-        {
-            const int line = node && node.IsDefined() ? node.Mark().line + 1 : 1;
-            errors_.push_back({ std::max(line, 1), path, std::move(message) });
-        }
-
-        std::string pathOf(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
-
-    private:
-        YAML::Node node_;
-        std::string path_;
-        std::vector<SettingsError>& errors_;
-        std::set<std::string> known_;
-    };
-
-    void readListen(MapReader reader, ListenSettings& listen)
+    void readListen(SettingsReader reader, ListenSettings& listen)
     {
         reader.readAddress("callers", listen.callers_);
         reader.readAddress("operators", listen.operators_);
@@ -116,14 +23,14 @@
         reader.refuseUnknownKeys();
     }
 
-    void readPeers(MapReader& reader, std::vector<std::string>& peers)
+    void readPeers(SettingsReader& reader, std::vector<std::string>& peers)
     {
         reader.read("peers", peers, false, "a list of addresses ip:port");
         for (std::size_t i = 0; i < peers.size(); ++i)
             reader.checkAddress(reader.child("peers")[i], "peers[" + std::to_string(i) + "]", peers[i]);
     }
 
-    void readControl(MapReader reader, std::vector<ControlMemberSettings>& control)
+    void readControl(SettingsReader reader, std::vector<ControlMemberSettings>& control)
     {
         const YAML::Node members = reader.child("members");
         const std::string path = reader.pathOf("members");
@@ -150,7 +57,7 @@
         reader.refuseUnknownKeys();
     }
 
-    void readLimits(MapReader reader, LimitSettings& limits)
+    void readLimits(SettingsReader reader, LimitSettings& limits)
     {
         reader.readCount("max_callers", limits.maxCallers_, 1, 1000000);
         reader.readCount("max_request_bytes", limits.maxRequestBytes_, 1024, 64 << 20);
@@ -159,7 +66,7 @@
         reader.refuseUnknownKeys();
     }
 
-    void readShutdown(MapReader reader, ShutdownSettings& shutdown)
+    void readShutdown(SettingsReader reader, ShutdownSettings& shutdown)
     {
         reader.readMilliseconds("balancer_delay_ms", shutdown.balancerDelay_, 0, 600000);
         reader.readMilliseconds("deadline_ms", shutdown.deadline_, 100, 600000);
@@ -169,7 +76,7 @@
     void readAll(const YAML::Node& root, SettingsFile& file)
     {
         ProcessSettings& settings = file.settings_;
-        MapReader reader(root, "", file.errors_);
+        SettingsReader reader(root, "", file.errors_);
         reader.read("instance", settings.instance_.value_, true, "the id of this instance");
         reader.read("data_centre", settings.dataCentre_.value_, true, "the data centre of this instance");
         readListen(reader.map("listen"), settings.listen_);
--- a/daemon/process/Serve.cpp
+++ b/daemon/process/Serve.cpp
@@ -1,12 +1,11 @@
 #include "process/Commands.h"
 #include "process/Log.h"
+#include "process/ServeProcess.h"
 #include "process/ServeTask.h"
 
 #include <csignal>
-#include <google/protobuf/stubs/logging.h>
 #include <iostream>
 #include <pthread.h>
-#include <sys/resource.h>
 #include <thread>
 
 namespace cassiahollow {
@@ -48,22 +47,6 @@
         return Loaded { std::move(file.settings_), std::move(*tree) };
     }
 
-    /// Higher at each start, because the clock of a machine moves on by more than a millisecond between two starts.
-    Incarnation newIncarnation()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-    }
-
-    void raiseFileLimit()
-    {
-        rlimit limit {};
-        if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-            limit.rlim_cur = limit.rlim_max;
-            setrlimit(RLIMIT_NOFILE, &limit);
-        }
-    }
-
 } // namespace
 
 int runCheck(const std::string& fileName)
@@ -80,16 +63,7 @@
     if (!loaded)
         return ExitUsage;
     startLog(loaded->settings_.logLevel_, loaded->settings_.instance_.value_);
-    raiseFileLimit();
-    google::protobuf::SetLogHandler(nullptr); // Malformed messages are counted, not logged one by one.
-    // Signals are taken by one thread, which posts them; no code runs in a signal handler.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    unsetenv("http_proxy"); // libwebsockets would open connections to endpoints through it.
+    const auto signals = prepareProcess();
     ServeTask task(loaded->settings_, loaded->tree_, newIncarnation());
     const bool started = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
@@ -107,7 +81,7 @@
     std::thread signalThread([&] {
         while (!ended) {
             int signal = 0;
-            if (sigwait(&signals, &signal) == 0 && !ended)
+            if (sigwait(&signals, &signal) == 0 && signal != SIGHUP && !ended)
                 task.post(ShutdownSignal {});
         }
     });
--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -180,6 +180,10 @@
     case PeerMessageKind::Control:
         receiveControl(message);
         return;
+    case PeerMessageKind::Directory:
+        // Belongs to the roles of the line protocol, which are other processes.
+        metrics_.count(Reason::MessageMalformed);
+        return;
     }
 }
 
--- /dev/null
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -0,0 +1,336 @@
+#include "process/EventLog.h"
+#include "request/GatewayState.h"
+
+#include <algorithm>
+
+// The endpoints of the gateway: what it believes of them, its connections to them, and proofs of the lead.
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Opening takes 12 ms at the endpoint and two round trips; a machine that is gone does not answer.
+    constexpr auto connectTime = 500ms;
+    // Sent bytes that the other machine's kernel has not acknowledged for this long are lost.
+    constexpr auto connectionSilence = 1000ms;
+    constexpr auto openPause = 100ms;
+    constexpr auto longestOpenPause = 2s;
+    // A primary that leaves goes on serving until there is another, but no longer than this: below the bound on new work
+    // at a leaving endpoint, less the time in which its announcement spreads.
+    constexpr auto leavingPrimaryTime = 4s;
+    // Endpoints that were not used for this long are not reported.
+    constexpr auto reportedUse = 5s;
+    // Weights of priorities in the queues: each level counts twice the next.
+    constexpr double topWeight = 8;
+
+} // namespace
+
+StatementGateway::Group& StatementGateway::groupOf(const GroupId& id)
+{
+    auto& group = groups_[id];
+    if (!group)
+        group = std::make_unique<Group>(id);
+    return *group;
+}
+
+const StatementGateway::Endpoint* StatementGateway::primary(const Group& group) const
+{
+    const auto* record = primaryOf(registry_, group.id_);
+    if (!record)
+        return nullptr;
+    const auto found = endpoints_.find(record->id_);
+    return found != endpoints_.end() && isUsable(*found->second) ? found->second.get() : nullptr;
+}
+
+StatementGateway::Endpoint* StatementGateway::primary(const Group& group)
+{
+    return const_cast<Endpoint*>(std::as_const(*this).primary(group));
+}
+
+StatementGateway::Endpoint* StatementGateway::find(const EndpointId& id)
+{
+    const auto found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : found->second.get();
+}
+
+bool StatementGateway::isUsable(const Endpoint& endpoint) const
+{
+    if (endpoint.record_.gone_)
+        return false;
+    if (!endpoint.record_.leaving_)
+        return true;
+    return endpoint.record_.role_ == EndpointRole::Primary
+        && suspendAwareNow() - endpoint.leavingSince_ < leavingPrimaryTime;
+}
+
+void StatementGateway::setCatalog(std::shared_ptr<const RouteCatalog> catalog)
+{
+    if (catalog_ && catalog->version_ <= catalog_->version_)
+        return;
+    catalog_ = std::move(catalog);
+    LogLine(LogKind::Belief, "catalog_applied")
+        .with("version", catalog_->version_)
+        .with("routes", static_cast<std::uint64_t>(catalog_->routes_.size()));
+    for (const auto& rules : catalog_->groups_) {
+        auto& group = groupOf(rules.group_);
+        std::map<ClassId, AdmissionClass> classes;
+        for (const auto& route : catalog_->routes_) {
+            if (route.group_ == rules.group_)
+                classes[ClassId(route.name_)].weight_ = topWeight / static_cast<double>(1 << std::clamp(route.priority_, 0, 6));
+        }
+        for (auto* queue : { &group.primaryQueue_, &group.readQueue_ }) {
+            auto settings = queue->settings_;
+            settings.classes_ = classes;
+            configure(*queue, std::move(settings));
+        }
+    }
+}
+
+void StatementGateway::setShare(std::size_t instances, std::size_t rank)
+{
+    instances_ = std::max<std::size_t>(instances, 1);
+    rank_ = rank;
+}
+
+void StatementGateway::setEndpoints(const std::vector<EndpointRecord>& records)
+{
+    std::map<GroupId, EndpointId> before;
+    for (const auto& [id, group] : groups_) {
+        if (const auto* record = primaryOf(registry_, id))
+            before[id] = record->id_;
+    }
+    for (const auto& record : records)
+        mergeRecord(registry_, record);
+    for (const auto& [id, record] : registry_.records_) {
+        auto& endpoint = endpoints_[id];
+        if (!endpoint)
+            endpoint = std::make_unique<Endpoint>();
+        auto& known = *endpoint;
+        const bool isOther = known.record_.address_ != record.address_ || known.record_.born_ != record.born_;
+        if (isOther || record.gone_) {
+            for (const auto& link : std::exchange(known.links_, {}))
+                link->close();
+            known.load_ = {};
+        }
+        if (record.leaving_ && !known.record_.leaving_) {
+            known.leavingSince_ = suspendAwareNow();
+            LogLine(LogKind::Belief, "endpoint_leaving").with("endpoint", id.value_).with("group", record.group_.value_);
+        }
+        known.record_ = record;
+    }
+    std::erase_if(endpoints_, [&](const auto& item) {
+        return item.second->record_.gone_ || !registry_.records_.contains(item.first);
+    });
+    for (const auto& rules : catalog_ ? catalog_->groups_ : std::vector<GroupRules>()) {
+        auto& group = groupOf(rules.group_);
+        const auto* record = primaryOf(registry_, group.id_);
+        if (record && before[group.id_] != record->id_) {
+            LogLine(LogKind::Belief, "primary_changed")
+                .with("group", group.id_.value_)
+                .with("from", before[group.id_].value_)
+                .with("to", record->id_.value_);
+            // What an unreachable old primary still owes will not come; its statements are answered now.
+            if (auto* old = find(before[group.id_]); old && isFailing(old->load_)) {
+                for (const auto& link : std::exchange(old->links_, {}))
+                    link->close();
+            }
+            requestSample(group);
+        }
+        dispatch(group);
+    }
+}
+
+std::vector<EndpointReport> StatementGateway::reports() const
+{
+    const auto now = suspendAwareNow();
+    std::vector<EndpointReport> reports;
+    for (const auto& [id, endpoint] : endpoints_) {
+        const auto& load = endpoint->load_;
+        if (endpoint->record_.role_ != EndpointRole::Primary)
+            continue;
+        EndpointReport report { id };
+        if (load.answered_ != TimePoint())
+            report.answeredAgo_ = now - load.answered_;
+        if (isFailing(load))
+            report.failingFor_ = std::max<Duration>(now - load.failingSince_, 1ms);
+        if (isFailing(load) || report.answeredAgo_ < reportedUse)
+            reports.push_back(report);
+    }
+    return reports;
+}
+
+void StatementGateway::suspect(Endpoint& endpoint)
+{
+    const bool isNew = !isFailing(endpoint.load_);
+    recordFailure(endpoint.load_, suspendAwareNow());
+    if (!isNew)
+        return;
+    LogLine(LogKind::Dependency, "endpoint_failing")
+        .with("endpoint", endpoint.record_.id_.value_)
+        .with("group", endpoint.record_.group_.value_);
+    if (suspicionHandler_ && endpoint.record_.role_ == EndpointRole::Primary)
+        suspicionHandler_();
+}
+
+void StatementGateway::openLink(Endpoint& endpoint)
+{
+    std::erase_if(endpoint.links_, [](const EndpointLinkPtr& link) { return link->isClosed(); });
+    const auto now = suspendAwareNow();
+    const auto& id = endpoint.record_.id_;
+    const auto* rules = catalog_ ? findGroup(*catalog_, endpoint.record_.group_) : nullptr;
+    const auto share = connectionShare(rules ? rules->connectionLimit_ : 1, instances_, rank_);
+    const auto pause = std::min<Duration>(openPause * (1 << std::min(endpoint.openFailures_, 6)), longestOpenPause);
+    const bool mustWait = endpoint.openFailures_ > 0 && now - endpoint.openFailed_ < pause;
+    if (!rules || endpoint.isOpening() || endpoint.links_.size() >= share || now < endpoint.load_.fullUntil_ || mustWait)
+        return;
+    EndpointLinkPtr link;
+    // The handlers refer to the link by its place in the endpoint, because it does not exist yet.
+    auto slot = std::make_shared<EndpointLink*>(nullptr);
+    link = new EndpointLink(sockets_, { id, endpoint.record_.group_, endpoint.record_.address_, options_.instance_ },
+        connectTime, connectionSilence,
+        { [this, id] { linkReady(id); }, [this, id, slot] { linkClosed(id, EndpointLinkPtr(*slot)); } });
+    *slot = link.get();
+    endpoint.links_.push_back(link);
+}
+
+void StatementGateway::openWanted(Group& group)
+{
+    auto* first = primary(group);
+    const bool wantsPrimary = group.primaryQueue_.waiting_ > 0 || (!group.awaitSample_.empty() && !group.sampling_);
+    if (first && wantsPrimary && first->idleLinks() == 0)
+        openLink(*first);
+    const bool wantsReads = group.readQueue_.waiting_ > 0;
+    for (auto& [id, endpoint] : endpoints_) {
+        if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint))
+            continue;
+        // Each endpoint gets its first connection early, so that reads find a choice.
+        const bool isFirst = endpoint->links_.empty();
+        if (isFirst || (wantsReads && endpoint->idleLinks() == 0 && endpoint.get() != first))
+            openLink(*endpoint);
+    }
+}
+
+EndpointLinkPtr StatementGateway::idleLink(Endpoint& endpoint, const Job& job)
+{
+    EndpointLinkPtr best;
+    std::size_t bestCost = 0;
+    for (const auto& link : endpoint.links_) {
+        if (!link->isReady() || link->taken_)
+            continue;
+        const auto cost = fitCost(link->fit_, job.session_->sql_, job.shape_);
+        if (!best || cost < bestCost) {
+            best = link;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void StatementGateway::linkReady(const EndpointId& id)
+{
+    auto* endpoint = find(id);
+    if (!endpoint)
+        return;
+    if (endpoint->openFailures_ > 0)
+        LogLine(LogKind::Dependency, "endpoint_reached").with("endpoint", id.value_);
+    endpoint->openFailures_ = 0;
+    endpoint->load_.failingSince_ = {};
+    endpoint->load_.answered_ = suspendAwareNow();
+    auto& group = groupOf(endpoint->record_.group_);
+    if (!group.awaitSample_.empty())
+        requestSample(group);
+    dispatch(group);
+}
+
+void StatementGateway::linkClosed(const EndpointId& id, const EndpointLinkPtr& link)
+{
+    auto* endpoint = find(id);
+    if (!endpoint)
+        return;
+    std::erase(endpoint->links_, link);
+    const auto now = suspendAwareNow();
+    if (link->refusal() == StatementError::ConnectionLimit) {
+        metrics_.count(Reason::EndpointConnectionLimit);
+        recordFull(endpoint->load_, now);
+        return;
+    }
+    metrics_.count(Reason::EndpointConnectFailed);
+    endpoint->openFailed_ = now;
+    ++endpoint->openFailures_;
+    suspect(*endpoint);
+    // The first failure may be that of one connection; the next attempt shows more.
+    const auto retryOpen = [this, id] {
+        if (auto* known = find(id); known && isUsable(*known) && known->idleLinks() == 0)
+            openLink(*known);
+    };
+    loop_.schedule(Clock::now() + openPause, retryOpen);
+}
+
+void StatementGateway::requestSample(Group& group)
+{
+    if (group.sampling_)
+        return;
+    auto* first = primary(group);
+    if (!first)
+        return;
+    EndpointLinkPtr link;
+    for (const auto& candidate : first->links_) {
+        if (candidate->isReady() && !candidate->taken_)
+            link = candidate;
+    }
+    if (!link) {
+        if (first->links_.empty())
+            openLink(*first);
+        return;
+    }
+    group.sampling_ = true;
+    link->taken_ = true;
+    const auto asked = suspendAwareNow();
+    link->exchange(platform::encodeOwn(platform::beginText()), [this, &group, asked](const EndpointReply* reply) {
+        group.sampling_ = false;
+        if (reply && !reply->error_ && reply->position_.term_ > 0)
+            sampled(group, { asked, reply->position_ });
+    });
+    link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* reply) {
+        if (auto* endpoint = find(link->endpoint()); endpoint && reply) {
+            endpoint->load_.answered_ = suspendAwareNow();
+            endpoint->load_.failingSince_ = {};
+        }
+        freeLink(link, reply != nullptr && reply->mark_ == platform::SessionMark::Idle);
+    });
+}
+
+void StatementGateway::sampled(Group& group, const PositionSample& sample)
+{
+    addSample(group.samples_, sample, suspendAwareNow());
+    const auto waiting = std::exchange(group.awaitSample_, {});
+    for (const auto& job : waiting)
+        enqueueJob(job);
+}
+
+// Marks endpoints that owe an answer for too long, refuses reads that have waited for a sample in vain, and keeps
+// samples coming for them.
+void StatementGateway::watchSilence()
+{
+    const auto now = suspendAwareNow();
+    for (auto& [id, group] : groups_) {
+        std::vector<JobPtr> late;
+        for (const auto& job : group->jobs_) {
+            const bool waits = group->awaitSample_.contains(job);
+            if (waits && now > job->item_.deadline_)
+                late.push_back(job);
+            if (!job->link_ || now - job->sent_ < silenceLimit)
+                continue;
+            auto* endpoint = find(job->link_->endpoint());
+            if (endpoint && now - endpoint->load_.answered_ > silenceLimit)
+                suspect(*endpoint);
+        }
+        for (const auto& job : late)
+            refuseJob(job, Reason::NoEndpointForRead);
+        if (!group->awaitSample_.empty())
+            requestSample(*group);
+    }
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/request/GatewayState.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "request/StatementGateway.h"
+
+#include <algorithm>
+
+// The state behind a StatementGateway; private to its sources.
+namespace cassiahollow {
+
+struct StatementGateway::Session : boost::intrusive_ref_counter<Session, boost::thread_unsafe_counter> {
+    LineChannelPtr channel_;
+    SqlSession sql_;
+    bool started_ { false };
+    bool busy_ { false }; ///< A statement is under way; the next one waits in the channel.
+    bool closed_ { false };
+    bool wrote_ { false }; ///< The open transaction has sent a write.
+    bool aborted_ { false }; ///< The transaction was ended here; the client learns it with its next statement.
+    LogPosition position_; ///< The last position told to the client.
+    std::shared_ptr<const RouteCatalog> catalog_; ///< In force when the operation began.
+    const Route* route_ { nullptr }; ///< Of that catalog.
+    EndpointLinkPtr link_; ///< Of the open transaction.
+    JobPtr job_;
+    TimePoint used_;
+};
+
+/// One statement that has to run at an endpoint.
+struct StatementGateway::Job : boost::intrusive_ref_counter<Job, boost::thread_unsafe_counter> {
+    SessionPtr session_;
+    std::string id_;
+    std::string text_;
+    StatementKind kind_ { StatementKind::Read }; ///< Read, Write or Commit.
+    bool opensTransaction_ { false };
+    bool needsPrimary_ { false };
+    std::optional<PreparedShape> shape_;
+    std::shared_ptr<const RouteCatalog> catalog_;
+    const Route* route_ { nullptr };
+    GroupId group_;
+    TimePoint arrived_;
+    TimePoint ageFrom_; ///< Arrival of the operation: ages of reads count back from it.
+    TimePoint sent_;
+    int attempts_ { 0 };
+    std::set<EndpointId> tried_;
+    std::optional<PositionSample> floor_; ///< Of the current attempt.
+    LogPosition floorPosition_;
+    EndpointLinkPtr link_;
+    bool beginRefused_ { false }; ///< The proof of the lead failed.
+    bool isDone_ { false };
+    EventLoop::TimerId timer_; ///< The statement's time limit.
+    AdmissionItem item_;
+    AdmissionQueue* queue_ { nullptr }; ///< Where the item waits or runs.
+};
+
+struct StatementGateway::Endpoint {
+    EndpointRecord record_;
+    EndpointLoad load_;
+    std::vector<EndpointLinkPtr> links_;
+    TimePoint leavingSince_;
+    TimePoint openFailed_;
+    int openFailures_ { 0 };
+
+    std::size_t idleLinks() const
+    {
+        return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
+            [](const EndpointLinkPtr& link) { return link->isReady() && !link->taken_; }));
+    }
+    bool isOpening() const
+    {
+        return std::any_of(links_.begin(), links_.end(),
+            [](const EndpointLinkPtr& link) { return !link->isReady() && !link->isClosed(); });
+    }
+};
+
+struct StatementGateway::Group {
+    explicit Group(GroupId id)
+        : id_(std::move(id))
+        , primaryQueue_({ .slots_ = unlimitedSlots, .initialServiceTime_ = std::chrono::milliseconds(10) })
+        , readQueue_({ .slots_ = unlimitedSlots, .initialServiceTime_ = std::chrono::milliseconds(10) })
+    {
+    }
+
+    /// Connections limit the statements in flight, not slots.
+    static constexpr std::size_t unlimitedSlots = 1000;
+
+    GroupId id_;
+    AdmissionQueue primaryQueue_; ///< Statements that only the primary may run.
+    AdmissionQueue readQueue_; ///< Reads with a floor, for any endpoint.
+    PositionSamples samples_;
+    bool sampling_ { false };
+    std::set<JobPtr> awaitSample_; ///< Reads without a floor.
+    std::set<JobPtr> jobs_; ///< All statements that wait or run.
+    EventLoop::TimerId timer_;
+    bool hasTimer_ { false };
+    bool dispatching_ { false };
+    bool dispatchAgain_ { false };
+};
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/request/GatewayStatements.cpp
@@ -0,0 +1,521 @@
+#include "process/EventLog.h"
+#include "request/GatewayState.h"
+
+#include <algorithm>
+
+// The statements of the gateway: where they wait, where they run, and what becomes of their answers.
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Attempts of one statement at endpoints.
+    constexpr int maximumAttempts = 4;
+    // Reads keep the newest sample this young, so that each has an old enough floor to choose from.
+    constexpr auto sampleInterval = 250ms;
+
+    AdmissionQueue& queueOf(AdmissionQueue& primary, AdmissionQueue& reads, bool needsPrimary)
+    {
+        return needsPrimary ? primary : reads;
+    }
+
+} // namespace
+
+void StatementGateway::submit(const JobPtr& job)
+{
+    const auto& session = job->session_;
+    recordRequest(retryBudget_, job->arrived_);
+    auto& group = groupOf(job->group_);
+    group.jobs_.insert(job);
+    const auto left = job->route_->statementTimeout_;
+    job->timer_ = loop_.schedule(Clock::now() + left, [this, job] { timedOut(job); });
+    if (session->sql_.transaction_ != TransactionState::Open)
+        return enqueueJob(job);
+    // The connection of the transaction is its own: nothing waits.
+    job->link_ = session->link_;
+    auto* endpoint = find(session->link_->endpoint());
+    if (session->link_->isClosed() || !endpoint)
+        return lost(job);
+    ++endpoint->load_.inFlight_;
+    job->sent_ = suspendAwareNow();
+    sendFit(job->link_, session->sql_, job->shape_);
+    session->wrote_ |= job->kind_ == StatementKind::Write;
+    job->link_->exchange(platform::encodeQuery(job->id_, job->text_),
+        [this, job, link = job->link_](const EndpointReply* reply) { finished(job, link, reply); });
+}
+
+void StatementGateway::enqueueJob(const JobPtr& job)
+{
+    auto& group = groupOf(job->group_);
+    const auto now = suspendAwareNow();
+    const auto* first = primary(group);
+    const bool waitsForPrimary = !first || isFailing(first->load_);
+    const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
+    if (!job->needsPrimary_) {
+        const auto newest = newestSample(group.samples_);
+        if (!newest || now - newest->asked_ > sampleInterval)
+            requestSample(group);
+        job->floor_ = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
+        if (!job->floor_) {
+            group.awaitSample_.insert(job);
+            job->item_.deadline_ = limits.latestStart_;
+            return;
+        }
+        job->floorPosition_ = job->floor_->position_;
+        if (job->route_->consistency_ == Consistency::ReadYourWrites)
+            job->floorPosition_ = sessionFloor(*job->floor_, job->session_->sql_.ownCommit_);
+    }
+    job->item_.class_ = ClassId(job->route_->name_);
+    job->item_.service_ = ServiceId(job->route_->database_);
+    job->item_.deadline_ = limits.latestStart_;
+    job->queue_ = &queueOf(group.primaryQueue_, group.readQueue_, job->needsPrimary_);
+    job->item_.id_ = reinterpret_cast<std::uint64_t>(job.get());
+    if (const auto reason = enqueue(*job->queue_, job->item_, now))
+        return refuseJob(job, *reason);
+    dispatch(group);
+}
+
+std::size_t StatementGateway::freeAtPrimary(const Group& group) const
+{
+    const auto* endpoint = primary(group);
+    return endpoint ? endpoint->idleLinks() : 0;
+}
+
+std::size_t StatementGateway::freeForReads(const Group& group) const
+{
+    std::size_t free = 0;
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint))
+            free += endpoint->idleLinks();
+    }
+    return free;
+}
+
+void StatementGateway::dispatch(Group& group)
+{
+    if (std::exchange(group.dispatching_, true)) {
+        group.dispatchAgain_ = true;
+        return;
+    }
+    do {
+        group.dispatchAgain_ = false;
+        const auto now = suspendAwareNow();
+        const auto serve = [&](AdmissionQueue& queue, std::size_t free) {
+            const auto decision = next(queue, now, free);
+            for (const auto& refused : decision.refuse_)
+                refuseJob(JobPtr(reinterpret_cast<Job*>(refused.item_->id_)), refused.reason_);
+            for (auto* item : decision.start_) {
+                const JobPtr job(reinterpret_cast<Job*>(item->id_));
+                if (auto* endpoint = placeJob(group, job)) {
+                    start(group, job, *endpoint);
+                } else {
+                    cancel(queue, job->item_);
+                    enqueueJob(job);
+                }
+            }
+        };
+        serve(group.primaryQueue_, freeAtPrimary(group));
+        serve(group.readQueue_, freeForReads(group));
+    } while (group.dispatchAgain_);
+    group.dispatching_ = false;
+    openWanted(group);
+    if (group.hasTimer_)
+        loop_.cancel(group.timer_);
+    group.hasTimer_ = false;
+    std::optional<TimePoint> earliest;
+    for (const auto& deadline : { nextDeadline(group.primaryQueue_), nextDeadline(group.readQueue_) }) {
+        if (deadline && (!earliest || *deadline < *earliest))
+            earliest = deadline;
+    }
+    if (!earliest)
+        return;
+    group.hasTimer_ = true;
+    group.timer_ = loop_.schedule(Clock::now() + std::max<Duration>(*earliest - suspendAwareNow(), 1ms), [this, &group] {
+        group.hasTimer_ = false;
+        dispatch(group);
+    });
+}
+
+StatementGateway::Endpoint* StatementGateway::placeJob(Group& group, const JobPtr& job)
+{
+    if (job->needsPrimary_) {
+        auto* endpoint = primary(group);
+        return endpoint && endpoint->idleLinks() > 0 ? endpoint : nullptr;
+    }
+    const auto now = suspendAwareNow();
+    const auto* first = primary(group);
+    std::vector<PlacementCandidate> candidates;
+    std::vector<Endpoint*> choices;
+    for (auto& [id, endpoint] : endpoints_) {
+        if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint) || endpoint->idleLinks() == 0)
+            continue;
+        candidates.push_back({ choices.size(), &endpoint->load_, endpoint->record_.slots_, endpoint.get() == first,
+            endpoint->record_.dataCentre_ == options_.dataCentre_, job->tried_.contains(id) });
+        choices.push_back(endpoint.get());
+    }
+    const auto floorAge = job->floorPosition_ == job->floor_->position_ ? now - job->floor_->asked_ : Duration::zero();
+    const auto chosen = placeRead(candidates, floorAge, now);
+    return chosen ? choices[*chosen] : nullptr;
+}
+
+void StatementGateway::start(Group&, const JobPtr& job, Endpoint& endpoint)
+{
+    const auto link = idleLink(endpoint, *job);
+    link->taken_ = true;
+    job->link_ = link;
+    ++job->attempts_;
+    ++endpoint.load_.inFlight_;
+    const auto now = suspendAwareNow();
+    job->sent_ = now;
+    metrics_.record(HistogramId::QueueTime, now - job->arrived_);
+    LogLine(LogKind::Placement, "placed")
+        .with("request", job->id_)
+        .with("endpoint", endpoint.record_.id_.value_)
+        .with("catalog", job->catalog_->version_)
+        .with("floor_age", job->floor_ ? now - job->floor_->asked_ : Duration::zero())
+        .with("waited", now - job->arrived_)
+        .with("attempt", static_cast<std::uint64_t>(job->attempts_));
+    runOn(job, link, endpoint);
+}
+
+void StatementGateway::runOn(const JobPtr& job, const EndpointLinkPtr& link, Endpoint&)
+{
+    const auto& sql = job->session_->sql_;
+    sendFit(link, sql, job->shape_);
+    if (job->opensTransaction_)
+        return runFirst(job, link, sql.readOnly_ && !job->needsPrimary_);
+    runSingle(job, link, job->needsPrimary_ && job->kind_ == StatementKind::Read);
+}
+
+void StatementGateway::runSingle(const JobPtr& job, const EndpointLinkPtr& link, bool proveLead)
+{
+    const auto done = [this, job, link](const EndpointReply* reply) { finished(job, link, reply); };
+    if (!proveLead) {
+        const auto text = job->needsPrimary_ ? job->text_ : platform::withFloor(job->floorPosition_, job->text_);
+        return link->exchange(platform::encodeQuery(job->id_, text), done);
+    }
+    // A database that has lost the lead refuses to begin, so a read inside a transaction proves the lead.
+    job->beginRefused_ = false;
+    link->exchange(platform::encodeOwn(platform::beginText()), [this, job](const EndpointReply* reply) {
+        job->beginRefused_ = !reply || reply->error_.has_value();
+        if (reply && !reply->error_ && reply->position_.term_ > 0)
+            sampled(groupOf(job->group_), { job->sent_, reply->position_ });
+    });
+    link->exchange(platform::encodeQuery(job->id_, job->text_), done);
+    link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* reply) {
+        freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle);
+    });
+}
+
+void StatementGateway::runFirst(const JobPtr& job, const EndpointLinkPtr& link, bool readOnly)
+{
+    job->beginRefused_ = false;
+    const auto begin = readOnly ? platform::withFloor(job->floorPosition_, platform::beginReadText())
+                                : std::string(platform::beginText());
+    // A statement after a refused begin would run outside the transaction, so it waits for the answer.
+    link->exchange(platform::encodeOwn(begin), [this, job, link, readOnly](const EndpointReply* reply) {
+        job->beginRefused_ = !reply || reply->error_.has_value();
+        if (job->beginRefused_)
+            return finishedFirst(job, link, reply);
+        if (!readOnly && reply->position_.term_ > 0)
+            sampled(groupOf(job->group_), { job->sent_, reply->position_ });
+        if (job->isDone_)
+            return finishedFirst(job, link, nullptr);
+        link->exchange(platform::encodeQuery(job->id_, job->text_),
+            [this, job, link](const EndpointReply* answered) { finishedFirst(job, link, answered); });
+    });
+}
+
+void StatementGateway::finishedFirst(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
+{
+    const bool ran = reply && !reply->error_ && !job->beginRefused_;
+    if (ran && !job->isDone_ && !job->session_->closed_) {
+        auto& session = *job->session_;
+        session.link_ = link;
+        session.sql_.transaction_ = TransactionState::Open;
+        session.wrote_ |= job->kind_ == StatementKind::Write;
+    }
+    finished(job, link, reply);
+}
+
+void StatementGateway::finished(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
+{
+    if (auto* endpoint = find(link->endpoint()); endpoint && endpoint->load_.inFlight_ > 0)
+        --endpoint->load_.inFlight_;
+    if (reply)
+        learn(job, *reply);
+    const auto& session = job->session_;
+    auto& sql = session->sql_;
+    const bool ownsTransaction = session->link_ == link;
+    const bool provedLead = job->needsPrimary_ && job->kind_ == StatementKind::Read && !job->opensTransaction_ && !ownsTransaction;
+    if (job->isDone_ || session->closed_) {
+        // The client is gone or was answered; the connection is used again only if nothing is open on it.
+        if (!provedLead)
+            freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle && !ownsTransaction);
+        return jobDone(job);
+    }
+    const bool failed = !reply || reply->error_ || job->beginRefused_;
+    if (failed && !ownsTransaction) {
+        if (!provedLead && reply && reply->mark_ != platform::SessionMark::Idle) {
+            link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* ended) {
+                freeLink(link, ended && ended->mark_ == platform::SessionMark::Idle);
+            });
+        } else if (!provedLead) {
+            freeLink(link, reply != nullptr);
+        }
+        if (retry(job, link, reply))
+            return;
+    }
+    if (!reply)
+        return lost(job);
+    if (failed) {
+        const auto error = job->beginRefused_ ? StatementError::NotPrimary : reply->error_->error_;
+        LogLine(LogKind::Refusal, "endpoint_error")
+            .with("request", job->id_)
+            .with("endpoint", link->endpoint().value_)
+            .with("code", reply->error_ ? reply->error_->word_ : "begin_refused")
+            .with("attempt", static_cast<std::uint64_t>(job->attempts_));
+        metrics_.count(Reason::StatementFailed);
+        jobDone(job);
+        if (job->kind_ == StatementKind::Commit) {
+            if (ownsTransaction)
+                release(session, reply->mark_ != platform::SessionMark::Idle);
+            sql.transaction_ = TransactionState::None;
+        }
+        session->busy_ = false;
+        refuse(session, error, reply->error_ ? std::string_view(reply->error_->text_) : std::string_view());
+        finishOperation(session);
+        session->channel_->offer();
+        return;
+    }
+    jobDone(job);
+    const bool wrote = job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None;
+    const bool committed = job->kind_ == StatementKind::Commit;
+    if (committed) {
+        release(session, false);
+        sql.transaction_ = TransactionState::None;
+    } else if (sql.transaction_ == TransactionState::None && !provedLead) {
+        freeLink(link, true);
+    }
+    if ((wrote || (committed && session->wrote_)) && reply->position_.term_ > 0) {
+        sql.ownCommit_ = reply->position_;
+        sampled(groupOf(job->group_), { job->sent_, reply->position_ });
+        metrics_.add(CounterId::Writes);
+    }
+    metrics_.record(HistogramId::RequestTime, suspendAwareNow() - job->arrived_);
+    session->busy_ = false;
+    answer(session, *reply);
+    finishOperation(session);
+    session->channel_->offer();
+}
+
+void StatementGateway::learn(const JobPtr& job, const EndpointReply& reply)
+{
+    auto* endpoint = find(job->link_->endpoint());
+    if (!endpoint)
+        return;
+    const auto now = suspendAwareNow();
+    auto& load = endpoint->load_;
+    const auto floorAge = job->floor_ ? job->sent_ - job->floor_->asked_ : Duration::zero();
+    if (!reply.error_) {
+        recordAnswer(load, now - job->sent_, now);
+        metrics_.record(HistogramId::RunTime, now - job->sent_);
+        if (job->floor_ && endpoint->record_.role_ == EndpointRole::Replica)
+            recordCaughtUp(load, floorAge);
+        if (job->kind_ == StatementKind::Read)
+            metrics_.add(job->needsPrimary_ ? CounterId::ReadsAtPrimary : CounterId::ReadsAtReplica);
+        return;
+    }
+    load.answered_ = now;
+    load.failingSince_ = {};
+    if (reply.error_->error_ == StatementError::Overloaded)
+        recordShed(load, now);
+    else if (reply.error_->error_ == StatementError::Behind)
+        recordBehind(load, floorAge, now);
+}
+
+// Whether the statement is tried again, because it is known not to have run or only read.
+bool StatementGateway::retry(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
+{
+    std::optional<Reason> reason;
+    if (!reply) {
+        // A read keeps nothing, and a transaction whose connection is gone is rolled back.
+        if (job->kind_ == StatementKind::Read || (job->opensTransaction_ && job->kind_ == StatementKind::Write))
+            reason = Reason::RetryConnectionLost;
+    } else if (job->beginRefused_ || reply->error_->error_ == StatementError::NotPrimary) {
+        reason = Reason::RetryStaleRoute;
+    } else if (reply->error_->error_ == StatementError::Behind) {
+        reason = Reason::RetryReplicaBehind;
+    } else if (reply->error_->error_ == StatementError::Overloaded) {
+        reason = Reason::RetryConnectionRefused;
+    } else if (reply->error_->error_ == StatementError::UnknownName) {
+        link->fit_ = {};
+        reason = Reason::RetryStaleRoute;
+    }
+    const auto now = suspendAwareNow();
+    const auto limits = waitLimits(*job->route_, job->arrived_, reason == Reason::RetryStaleRoute);
+    if (!reason || job->attempts_ >= maximumAttempts || now > limits.latestStart_)
+        return false;
+    if (!takeRetry(retryBudget_, now)) {
+        metrics_.count(Reason::RetryBudgetSpent);
+        return false;
+    }
+    metrics_.count(*reason);
+    LogLine(LogKind::Retry, reasonInfo(*reason).name_)
+        .with("request", job->id_)
+        .with("endpoint", link->endpoint().value_)
+        .with("attempt", static_cast<std::uint64_t>(job->attempts_));
+    if (job->queue_ && job->item_.state_ == AdmissionItem::State::Running)
+        cancel(*job->queue_, job->item_);
+    job->tried_.insert(link->endpoint());
+    job->link_ = nullptr;
+    // A database that lost the lead, or one that sheds, needs a moment before the next attempt is worth anything.
+    const bool waits = reason == Reason::RetryStaleRoute || reason == Reason::RetryConnectionRefused;
+    if (!waits) {
+        enqueueJob(job);
+        return true;
+    }
+    loop_.schedule(Clock::now() + shedPause * job->attempts_, [this, job] {
+        if (!job->isDone_)
+            enqueueJob(job);
+    });
+    return true;
+}
+
+// The connection of the statement ended before its answer.
+void StatementGateway::lost(const JobPtr& job)
+{
+    const auto& session = job->session_;
+    auto& sql = session->sql_;
+    const bool commits = job->kind_ == StatementKind::Commit;
+    const bool keeps = (commits && session->wrote_)
+        || (job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None);
+    const auto error = keeps ? StatementError::InDoubt
+        : sql.transaction_ == TransactionState::None ? StatementError::Failed
+                                                     : StatementError::Aborted;
+    LogLine(keeps ? LogKind::Uncertain : LogKind::Refusal, keeps ? "in_doubt" : "aborted")
+        .with("request", job->id_)
+        .with("endpoint", job->link_ ? job->link_->endpoint().value_ : std::string())
+        .with("cause", "connection_lost")
+        .with("sent_ago", suspendAwareNow() - job->sent_);
+    metrics_.count(keeps ? Reason::AnswerLost : Reason::TransactionAborted);
+    jobDone(job);
+    if (session->closed_)
+        return;
+    if (commits) {
+        release(session, true);
+        sql.transaction_ = TransactionState::None;
+    }
+    session->busy_ = false;
+    refuse(session, error, "the answer of the database was lost");
+    finishOperation(session);
+    session->channel_->offer();
+}
+
+void StatementGateway::timedOut(const JobPtr& job)
+{
+    if (job->isDone_)
+        return;
+    if (!job->link_) {
+        refuseJob(job, Reason::DeadlinePassed);
+        return;
+    }
+    const auto link = job->link_;
+    const auto& session = job->session_;
+    LogLine(LogKind::Uncertain, "timed_out")
+        .with("request", job->id_)
+        .with("endpoint", link->endpoint().value_)
+        .with("sent_ago", suspendAwareNow() - job->sent_);
+    metrics_.count(Reason::DeadlinePassed);
+    if (session->link_ != link && job->kind_ == StatementKind::Read && !job->opensTransaction_) {
+        jobDone(job);
+        if (!session->closed_) {
+            session->busy_ = false;
+            refuse(session, StatementError::TimedOut, "no answer within the time limit");
+            finishOperation(session);
+            session->channel_->offer();
+        }
+        link->close();
+        return;
+    }
+    // An answer that comes later must not reach the next user of the connection.
+    job->attempts_ = maximumAttempts;
+    link->close();
+}
+
+void StatementGateway::refuseJob(const JobPtr& job, Reason reason)
+{
+    if (job->isDone_)
+        return;
+    auto& group = groupOf(job->group_);
+    const auto* first = primary(group);
+    const bool waitsForPrimary = job->needsPrimary_ && (!first || isFailing(first->load_));
+    const auto waiting = group.primaryQueue_.waiting_ + group.readQueue_.waiting_;
+    const auto comeBack = comeBackAfter(waiting, first ? first->load_.responseSeconds_ : 0, waitsForPrimary);
+    const auto told = waitsForPrimary ? Reason::GroupWithoutPrimary : reason;
+    metrics_.count(told);
+    LogLine(LogKind::Refusal, reasonInfo(told).name_)
+        .with("request", job->id_)
+        .with("group", job->group_.value_)
+        .with("catalog", job->catalog_->version_)
+        .with("waited", suspendAwareNow() - job->arrived_)
+        .with("waiting", static_cast<std::uint64_t>(waiting))
+        .with("come_back", comeBack);
+    jobDone(job);
+    const auto& session = job->session_;
+    if (session->closed_)
+        return;
+    if (job->kind_ == StatementKind::Commit) {
+        release(session, true);
+        session->sql_.transaction_ = TransactionState::None;
+    }
+    session->busy_ = false;
+    refuse(session, StatementError::Overloaded, "not run, retry-after-ms=" + std::to_string(comeBack.count()));
+    finishOperation(session);
+    session->channel_->offer();
+}
+
+void StatementGateway::jobDone(const JobPtr& job)
+{
+    job->isDone_ = true;
+    loop_.cancel(job->timer_);
+    auto& group = groupOf(job->group_);
+    group.jobs_.erase(job);
+    group.awaitSample_.erase(job);
+    if (job->queue_ && job->item_.state_ == AdmissionItem::State::Running)
+        cassiahollow::finished(*job->queue_, job->item_, suspendAwareNow());
+    else if (job->queue_ && job->item_.state_ == AdmissionItem::State::Waiting)
+        cancel(*job->queue_, job->item_);
+    if (job->session_->job_ == job)
+        job->session_->job_ = nullptr;
+}
+
+void StatementGateway::sendFit(
+    const EndpointLinkPtr& link, const SqlSession& sql, const std::optional<PreparedShape>& needed)
+{
+    for (const auto& step : fitConnection(link->fit_, sql, needed)) {
+        link->exchange(platform::encodeFit(step), [link](const EndpointReply* reply) {
+            // What follows on the connection would run with wrong values.
+            if (reply && reply->error_)
+                link->close();
+        });
+    }
+}
+
+void StatementGateway::freeLink(const EndpointLinkPtr& link, bool isClean)
+{
+    if (link->isClosed())
+        return;
+    if (!isClean) {
+        link->close();
+        linkClosed(link->endpoint(), link);
+        return;
+    }
+    link->taken_ = false;
+    link->used_ = suspendAwareNow();
+    if (const auto* endpoint = find(link->endpoint()))
+        dispatch(groupOf(endpoint->record_.group_));
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/request/StatementGateway.cpp
@@ -0,0 +1,326 @@
+#include "request/StatementGateway.h"
+
+#include "process/EventLog.h"
+#include "request/GatewayState.h"
+
+#include <ctime>
+
+// The sessions of the gateway: what clients send, and what is answered without an endpoint.
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto tickInterval = 50ms;
+    // Resting sessions that are closed in one tick of a shutdown, so that they come back at other instances one after
+    // the other and not all at once.
+    constexpr std::size_t closedPerTick = 8;
+
+} // namespace
+
+TimePoint suspendAwareNow()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+StatementGateway::StatementGateway(EventLoop& loop, Metrics& metrics, Options options)
+    : loop_(loop)
+    , metrics_(metrics)
+    , options_(std::move(options))
+    , sockets_(loop)
+{
+    tick();
+}
+
+StatementGateway::~StatementGateway() = default;
+
+void StatementGateway::accept(const LineChannelPtr& channel)
+{
+    const SessionPtr session(new Session);
+    session->channel_ = channel;
+    session->used_ = suspendAwareNow();
+    sessions_.insert(session);
+    channel->setHandlers({ .opened_ = {},
+        .received_ = [this, session](std::string_view bytes) { return receive(session, bytes); },
+        .closed_ = [this, session] { sessionClosed(session); } });
+}
+
+std::size_t StatementGateway::receive(const SessionPtr& session, std::string_view bytes)
+{
+    std::size_t taken = 0;
+    while (!session->busy_ && !session->closed_) {
+        const auto line = platform::takeLine(bytes, taken);
+        if (!line)
+            break;
+        session->used_ = suspendAwareNow();
+        auto message = platform::decodeClientLine(*line);
+        if (const auto* start = std::get_if<platform::ClientStart>(&message)) {
+            handle(session, *start);
+        } else if (auto* query = std::get_if<platform::ClientQuery>(&message); query && session->started_) {
+            handle(session, std::move(*query));
+        } else if (std::holds_alternative<platform::ClientEnd>(message)) {
+            session->channel_->close();
+            sessionClosed(session);
+        } else {
+            metrics_.count(Reason::MalformedRequest);
+            session->channel_->send(platform::encodeError(StatementError::Malformed, "not understood"));
+            session->channel_->closeWhenSent();
+            sessionClosed(session);
+        }
+    }
+    if (!session->closed_ && bytes.size() - taken > platform::maximumLineBytes) {
+        metrics_.count(Reason::RequestTooLarge);
+        session->channel_->close();
+        sessionClosed(session);
+    }
+    return taken;
+}
+
+void StatementGateway::handle(const SessionPtr& session, const platform::ClientStart& start)
+{
+    if (session->started_ || !catalog_ || !findRoute(*catalog_, start.database_)) {
+        metrics_.count(Reason::UnknownService);
+        LogLine(LogKind::Refusal, "session_refused")
+            .with("database", start.database_)
+            .with("catalog", catalogVersion());
+        session->channel_->send(platform::encodeError(StatementError::UnknownDatabase, start.database_));
+        session->channel_->closeWhenSent();
+        sessionClosed(session);
+        return;
+    }
+    session->started_ = true;
+    session->sql_.database_ = start.database_;
+    session->channel_->send(platform::encodeReady(platform::SessionMark::Idle, {}));
+}
+
+void StatementGateway::handle(const SessionPtr& session, platform::ClientQuery query)
+{
+    auto& sql = session->sql_;
+    const auto& statement = query.statement_;
+    const bool ends = statement.kind_ == StatementKind::Commit || statement.kind_ == StatementKind::Rollback;
+    if (statement.kind_ == StatementKind::Malformed
+        || (sql.transaction_ == TransactionState::Failed && !ends && !session->aborted_)) {
+        metrics_.count(Reason::MalformedRequest);
+        return refuse(session, StatementError::Malformed, "not understood or not allowed now");
+    }
+    // The client takes its transaction for open; the promise that nothing is kept reaches it once.
+    if (std::exchange(session->aborted_, false) && statement.kind_ != StatementKind::Rollback) {
+        if (statement.kind_ == StatementKind::Commit)
+            sql.transaction_ = TransactionState::None;
+        refuse(session, StatementError::Aborted, "the transaction was ended");
+        return sql.transaction_ == TransactionState::None ? finishOperation(session) : void();
+    }
+    // A change of a route applies from the next operation on.
+    if (sql.transaction_ == TransactionState::None) {
+        session->catalog_ = catalog_;
+        session->route_ = findRoute(*catalog_, sql.database_);
+        if (!session->route_) {
+            metrics_.count(Reason::UnknownService);
+            return refuse(session, StatementError::UnknownDatabase, sql.database_);
+        }
+    }
+    switch (statement.kind_) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        return beginTransaction(session, statement.kind_ == StatementKind::BeginReadOnly);
+    case StatementKind::Commit:
+    case StatementKind::Rollback:
+        return endTransaction(session, query.id_, statement);
+    case StatementKind::Set:
+        return setValue(sql, statement.name_, statement.argument_) ? answerLocal(session)
+                                                                   : refuse(session, StatementError::Failed, "too many values");
+    case StatementKind::Prepare:
+        return prepare(sql, statement.name_, { statement.argument_, statement.prepareWrites_ })
+            ? answerLocal(session)
+            : refuse(session, StatementError::Failed, "too many prepared names");
+    case StatementKind::Deallocate:
+        return sql.prepared_.erase(statement.name_) > 0 ? answerLocal(session)
+                                                        : refuse(session, StatementError::UnknownName, statement.name_);
+    default:
+        return runStatement(session, std::move(query.id_), statement);
+    }
+}
+
+void StatementGateway::beginTransaction(const SessionPtr& session, bool readOnly)
+{
+    auto& sql = session->sql_;
+    if (sql.transaction_ != TransactionState::None)
+        return refuse(session, StatementError::Malformed, "a transaction is open");
+    sql.transaction_ = TransactionState::Deferred;
+    sql.readOnly_ = readOnly;
+    sql.begun_ = suspendAwareNow();
+    session->wrote_ = false;
+    answerLocal(session);
+}
+
+void StatementGateway::endTransaction(const SessionPtr& session, const std::string& id, const Statement& statement)
+{
+    auto& sql = session->sql_;
+    if (sql.transaction_ == TransactionState::None)
+        return refuse(session, StatementError::Malformed, "no transaction is open");
+    const bool commits = statement.kind_ == StatementKind::Commit;
+    if (commits && sql.transaction_ != TransactionState::Failed)
+        return runStatement(session, id, statement);
+    const bool failed = sql.transaction_ == TransactionState::Failed;
+    release(session, true);
+    sql.transaction_ = TransactionState::None;
+    if (commits && failed)
+        refuse(session, StatementError::Aborted, "the transaction had failed");
+    else
+        answerLocal(session);
+    finishOperation(session);
+}
+
+void StatementGateway::runStatement(const SessionPtr& session, std::string id, const Statement& statement)
+{
+    auto& sql = session->sql_;
+    const JobPtr job(new Job);
+    job->session_ = session;
+    job->id_ = std::move(id);
+    job->text_ = statement.text_;
+    job->kind_ = statement.kind_;
+    if (statement.kind_ == StatementKind::Execute) {
+        job->shape_ = preparedShape(sql, statement.name_);
+        if (!job->shape_)
+            return refuse(session, StatementError::UnknownName, statement.name_);
+        job->kind_ = job->shape_->writes_ ? StatementKind::Write : StatementKind::Read;
+        job->text_ = platform::executeText(sharedName(*job->shape_), statement.argument_);
+    }
+    job->catalog_ = session->catalog_;
+    job->route_ = session->route_;
+    job->group_ = session->route_->group_;
+    job->arrived_ = suspendAwareNow();
+    job->ageFrom_ = sql.transaction_ == TransactionState::None ? job->arrived_ : sql.begun_;
+    job->opensTransaction_ = sql.transaction_ == TransactionState::Deferred;
+    const bool mayWrite = job->opensTransaction_ ? !sql.readOnly_ : job->kind_ != StatementKind::Read;
+    job->needsPrimary_ = mayWrite || job->route_->consistency_ == Consistency::Primary;
+    session->busy_ = true;
+    session->job_ = job;
+    submit(job);
+}
+
+void StatementGateway::answerLocal(const SessionPtr& session, const std::string&)
+{
+    const bool open = session->sql_.transaction_ != TransactionState::None;
+    session->channel_->send(platform::encodeComplete("-")
+        + platform::encodeReady(
+            open ? platform::SessionMark::InTransaction : platform::SessionMark::Idle, session->position_));
+}
+
+void StatementGateway::answer(const SessionPtr& session, const EndpointReply& reply)
+{
+    std::string lines;
+    for (const auto& row : reply.rows_)
+        lines += platform::encodeRow(row);
+    lines += platform::encodeComplete(reply.signature_);
+    if (reply.position_.term_ > 0)
+        session->position_ = reply.position_;
+    const bool open = session->sql_.transaction_ != TransactionState::None;
+    lines += platform::encodeReady(
+        open ? platform::SessionMark::InTransaction : platform::SessionMark::Idle, session->position_);
+    session->channel_->send(lines);
+}
+
+void StatementGateway::refuse(const SessionPtr& session, StatementError error, std::string_view text)
+{
+    auto& sql = session->sql_;
+    if (sql.transaction_ == TransactionState::Deferred || sql.transaction_ == TransactionState::Open) {
+        release(session, true);
+        sql.transaction_ = TransactionState::Failed;
+    }
+    const auto mark
+        = sql.transaction_ == TransactionState::Failed ? platform::SessionMark::Failed : platform::SessionMark::Idle;
+    session->channel_->send(platform::encodeError(error, text) + platform::encodeReady(mark, session->position_));
+}
+
+void StatementGateway::release(const SessionPtr& session, bool rollback)
+{
+    const auto link = std::exchange(session->link_, nullptr);
+    if (!link || link->isClosed())
+        return;
+    if (!rollback)
+        return freeLink(link, true);
+    link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* reply) {
+        freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle);
+    });
+}
+
+void StatementGateway::sessionClosed(const SessionPtr& session)
+{
+    if (std::exchange(session->closed_, true))
+        return;
+    sessions_.erase(session);
+    if (const auto job = std::exchange(session->job_, nullptr); job && !job->isDone_) {
+        // What runs goes on to its end; its answer goes nowhere.
+        if (job->item_.state_ != AdmissionItem::State::Running && !job->link_)
+            jobDone(job);
+        else if (session->link_)
+            session->link_->close();
+    }
+    session->sql_.transaction_ = TransactionState::None;
+    release(session, true);
+}
+
+void StatementGateway::finishOperation(const SessionPtr& session)
+{
+    session->used_ = suspendAwareNow();
+    if (!shuttingDown_ || session->closed_ || session->sql_.transaction_ != TransactionState::None || session->busy_)
+        return;
+    session->channel_->closeWhenSent();
+    sessionClosed(session);
+}
+
+void StatementGateway::endIdleTransactions()
+{
+    const auto now = suspendAwareNow();
+    for (const auto& session : sessions_) {
+        auto& sql = session->sql_;
+        if (sql.transaction_ != TransactionState::Open || session->busy_)
+            continue;
+        const bool isIdle = now - session->used_ > session->catalog_->idleTransaction_;
+        const bool mustEnd = shuttingDown_ && now > transactionsEnd_;
+        const bool isLost = session->link_ && session->link_->isClosed();
+        if (!isIdle && !mustEnd && !isLost)
+            continue;
+        metrics_.count(isLost ? Reason::TransactionAborted : mustEnd ? Reason::ShuttingDown : Reason::TransactionIdle);
+        release(session, true);
+        sql.transaction_ = TransactionState::Failed;
+        session->aborted_ = true;
+    }
+}
+
+void StatementGateway::beginShutdown(std::chrono::milliseconds transactionTime)
+{
+    shuttingDown_ = true;
+    transactionsEnd_ = suspendAwareNow() + transactionTime;
+}
+
+void StatementGateway::closeResting()
+{
+    const bool isLate = suspendAwareNow() > transactionsEnd_;
+    std::vector<SessionPtr> resting;
+    for (const auto& session : sessions_) {
+        const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
+        if (!session->busy_ && ended && resting.size() < closedPerTick)
+            resting.push_back(session);
+    }
+    for (const auto& session : resting) {
+        session->channel_->closeWhenSent();
+        sessionClosed(session);
+    }
+}
+
+void StatementGateway::tick()
+{
+    endIdleTransactions();
+    if (shuttingDown_)
+        closeResting();
+    watchSilence();
+    loop_.schedule(Clock::now() + tickInterval, [this] { tick(); });
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/request/StatementGateway.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "cassiahollow/connection/SqlSession.h"
+#include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/process/Metrics.h"
+#include "cassiahollow/request/AdmissionQueue.h"
+#include "cassiahollow/request/PositionSamples.h"
+#include "cassiahollow/request/RetryBudget.h"
+#include "cassiahollow/request/StatementPlacement.h"
+#include "connection/EndpointLink.h"
+#include "connection/LineChannel.h"
+#include "process/EventLoop.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cassiahollow {
+
+/// The time of decisions about ages. It goes on while the machine is suspended, which the steady clock does not.
+TimePoint suspendAwareNow();
+
+/// Serves the sessions of clients: keeps their state, and runs their statements on connections to endpoints that they
+/// share. Lives on the loop's thread.
+class StatementGateway {
+public:
+    struct Options {
+        std::string instance_; ///< Told to endpoints.
+        DataCentre dataCentre_;
+    };
+
+    StatementGateway(EventLoop&, Metrics&, Options);
+    ~StatementGateway();
+    StatementGateway(const StatementGateway&) = delete;
+    StatementGateway& operator=(const StatementGateway&) = delete;
+
+    /// A client has connected.
+    void accept(const LineChannelPtr&);
+
+    /// A newer catalog. Statements that are under way go on with the one they began with.
+    void setCatalog(std::shared_ptr<const RouteCatalog>);
+    /// The endpoints as control members know them, and this instance's place among the instances.
+    void setEndpoints(const std::vector<EndpointRecord>&);
+    void setShare(std::size_t instances, std::size_t rank);
+
+    /// What this instance has seen of the endpoints that it used lately.
+    std::vector<EndpointReport> reports() const;
+    /// Called when an endpoint begins to fail.
+    void setSuspicionHandler(std::function<void()> handler) { suspicionHandler_ = std::move(handler); }
+
+    bool hasCatalog() const { return catalog_ != nullptr; }
+    std::uint64_t catalogVersion() const { return catalog_ ? catalog_->version_ : 0; }
+    bool hasEndpoints() const { return !registry_.records_.empty(); }
+
+    /// Sessions that rest are closed one after the other, the others when their operation ends. Transactions that are
+    /// open after `transactionTime` are ended.
+    void beginShutdown(std::chrono::milliseconds transactionTime);
+    std::size_t sessions() const { return sessions_.size(); }
+
+private:
+    struct Session;
+    struct Job;
+    struct Group;
+    struct Endpoint;
+    using SessionPtr = boost::intrusive_ptr<Session>;
+    using JobPtr = boost::intrusive_ptr<Job>;
+
+    // Sessions.
+    std::size_t receive(const SessionPtr&, std::string_view);
+    void handle(const SessionPtr&, const platform::ClientStart&);
+    void handle(const SessionPtr&, platform::ClientQuery);
+    void beginTransaction(const SessionPtr&, bool readOnly);
+    void endTransaction(const SessionPtr&, const std::string& id, const Statement&);
+    void runStatement(const SessionPtr&, std::string id, const Statement&);
+    void answerLocal(const SessionPtr&, const std::string& error = {});
+    void answer(const SessionPtr&, const EndpointReply&);
+    void refuse(const SessionPtr&, StatementError, std::string_view text);
+    void release(const SessionPtr&, bool rollback);
+    void sessionClosed(const SessionPtr&);
+    void finishOperation(const SessionPtr&);
+    void endIdleTransactions();
+    void closeResting();
+
+    // Statements.
+    void submit(const JobPtr&);
+    void enqueueJob(const JobPtr&);
+    void dispatch(Group&);
+    void refuseJob(const JobPtr&, Reason);
+    std::size_t freeAtPrimary(const Group&) const;
+    std::size_t freeForReads(const Group&) const;
+    Endpoint* placeJob(Group&, const JobPtr&);
+    void start(Group&, const JobPtr&, Endpoint&);
+    void runOn(const JobPtr&, const EndpointLinkPtr&, Endpoint&);
+    void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
+    void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
+    void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
+    void finishedFirst(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
+    bool retry(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
+    void lost(const JobPtr&);
+    void timedOut(const JobPtr&);
+    void jobDone(const JobPtr&);
+    void learn(const JobPtr&, const EndpointReply&);
+    void freeLink(const EndpointLinkPtr&, bool isClean);
+    void sendFit(const EndpointLinkPtr&, const SqlSession&, const std::optional<PreparedShape>&);
+
+    // Endpoints.
+    Group& groupOf(const GroupId&);
+    Endpoint* primary(const Group&);
+    const Endpoint* primary(const Group&) const;
+    Endpoint* find(const EndpointId&);
+    bool isUsable(const Endpoint&) const;
+    void openLink(Endpoint&);
+    void openWanted(Group&);
+    EndpointLinkPtr idleLink(Endpoint&, const Job&);
+    void linkReady(const EndpointId&);
+    void linkClosed(const EndpointId&, const EndpointLinkPtr&);
+    void suspect(Endpoint&);
+    void requestSample(Group&);
+    void sampled(Group&, const PositionSample&);
+    void watchSilence();
+    void tick();
+
+    EventLoop& loop_;
+    Metrics& metrics_;
+    const Options options_;
+    LineSockets sockets_;
+    std::shared_ptr<const RouteCatalog> catalog_;
+    EndpointRegistry registry_;
+    std::set<SessionPtr> sessions_;
+    std::map<GroupId, std::unique_ptr<Group>> groups_;
+    std::map<EndpointId, std::unique_ptr<Endpoint>> endpoints_;
+    std::size_t instances_ { 1 };
+    std::size_t rank_ { 0 };
+    RetryBudget retryBudget_;
+    std::function<void()> suspicionHandler_;
+    bool shuttingDown_ { false };
+    TimePoint transactionsEnd_;
+};
+
+} // namespace cassiahollow
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -101,6 +101,8 @@
         || reportSettings(std::make_shared<const SettingsTree>(log_.control_.settings_));
     for (const auto& [group, members] : log_.control_.groups_)
         reportGroup(group, members);
+    if (callbacks_.catalogApplied_ && log_.control_.catalog_.version_ > 0)
+        callbacks_.catalogApplied_(std::make_shared<const CatalogDocument>(log_.control_.catalog_));
     reportStatus();
     auto nextTick = Clock::now();
     while (isWorking) {
@@ -158,6 +160,10 @@
 bool ControlTask::handle(const ControlEvent& event, TimePoint now)
 {
     const auto actions = step(log_, event, now);
+    if (log_.role_ == ControlRole::Leader)
+        contact_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    else if (log_.hasHeardLeader_)
+        contact_.store(log_.leaderHeard_.time_since_epoch().count(), std::memory_order_relaxed);
     for (; dropped_ < log_.dropped_; ++dropped_)
         callbacks_.dropped_(Reason::MessageStaleIncarnation);
     return carryOut(actions);
@@ -181,6 +187,9 @@
                 return false;
         } else if (const auto* group = std::get_if<ApplyGroupAction>(&action)) {
             reportGroup(group->group_, group->members_);
+        } else if (const auto* catalog = std::get_if<ApplyCatalogAction>(&action)) {
+            if (callbacks_.catalogApplied_)
+                callbacks_.catalogApplied_(catalog->catalog_);
         } else if (const auto* answer = std::get_if<AnswerAction>(&action)) {
             unanswered_.erase(answer->token_);
             callbacks_.answered_(answer->token_, answer->outcome_, answer->settings_);
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -5,6 +5,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -39,6 +40,8 @@
     std::function<void(std::shared_ptr<const SettingsTree>)> settingsApplied_;
     /// A newer member list of a group.
     std::function<void(const GroupId&, const GroupMembers&)> groupApplied_;
+    /// A newer catalog; may be empty. Called once at start with the one of the snapshot.
+    std::function<void(std::shared_ptr<const CatalogDocument>)> catalogApplied_;
     /// The outcome of a request; each accepted LocalRequest gets exactly one. The tree is set for a successful read.
     std::function<void(std::uint64_t token, const ChangeOutcome&, std::shared_ptr<const SettingsTree>)> answered_;
     std::function<void(const ControlStatus&)> statusChanged_;
@@ -79,6 +82,10 @@
     /// events are waiting; a refused request gets no answer.
     bool post(Event);
 
+    /// The last time at which this member was in contact with a majority: as the leader, or through it. The epoch before
+    /// the first contact. Any thread.
+    TimePoint lastContact() const { return TimePoint(Duration(contact_.load(std::memory_order_relaxed))); }
+
     /// Answers what is unfinished and ends the thread. Does nothing when the thread has ended.
     void stop();
 
@@ -96,6 +103,8 @@
     ControlTaskCallbacks callbacks_;
     std::thread thread_;
 
+    std::atomic<Duration::rep> contact_ { 0 };
+
     std::mutex mutex_;
     std::condition_variable arrived_;
     std::deque<Event> events_; // guarded by mutex_
--- /dev/null
+++ b/daemon/version/DutyRunner.cpp
@@ -0,0 +1,228 @@
+#include "version/DutyRunner.h"
+
+#include "Documents.h"
+#include "LineProtocol.h"
+#include "process/EventLog.h"
+
+namespace cassiahollow {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A machine that is alive answers a health question within a few round trips.
+    constexpr auto probeTime = 350ms;
+    // Connecting takes an endpoint 12 ms of a slot; a survey counts for PromotionOptions::surveyTime_.
+    constexpr auto surveyTime = 400ms;
+    // A promotion takes up to a second at the authority.
+    constexpr auto orderTime = 1500ms;
+
+    // One conversation with an endpoint: start, an optional order, and the status question.
+    struct Survey : boost::intrusive_ref_counter<Survey, boost::thread_unsafe_counter> {
+        LineChannelPtr channel_;
+        std::string pending_; ///< Sent once the session has started.
+        std::size_t readiesLeft_ { 1 };
+        std::optional<platform::DatabaseStatus> status_;
+        std::function<void(const std::optional<platform::DatabaseStatus>&)> done_;
+
+        void finish()
+        {
+            const boost::intrusive_ptr<Survey> keepAlive(this);
+            if (channel_)
+                channel_->close();
+            if (const auto done = std::exchange(done_, nullptr))
+                done(status_);
+        }
+
+        void handle(const platform::EndpointMessage& message)
+        {
+            if (const auto* row = std::get_if<platform::EndpointRow>(&message)) {
+                status_ = platform::decodeStatus(row->text_);
+            } else if (std::holds_alternative<platform::EndpointReady>(message)) {
+                if (!pending_.empty()) {
+                    channel_->send(std::exchange(pending_, {}));
+                } else if (--readiesLeft_ == 0) {
+                    finish();
+                }
+            } else if (!std::holds_alternative<platform::EndpointComplete>(message)) {
+                status_.reset();
+                finish();
+            }
+        }
+
+        std::size_t receive(std::string_view bytes)
+        {
+            std::size_t taken = 0;
+            while (done_) {
+                const auto line = platform::takeLine(bytes, taken);
+                if (!line)
+                    break;
+                handle(platform::decodeEndpointLine(*line));
+            }
+            return taken;
+        }
+    };
+
+} // namespace
+
+DutyRunner::DutyRunner(
+    EventLoop& loop, DutyRunnerOptions options, const EndpointRegistry& registry, RequestGrant requestGrant)
+    : loop_(loop)
+    , options_(std::move(options))
+    , registry_(registry)
+    , requestGrant_(std::move(requestGrant))
+    , sockets_(loop)
+    , calls_(loop)
+{
+}
+
+void DutyRunner::setLeading(bool leading)
+{
+    if (leading == leading_)
+        return;
+    leading_ = leading;
+    ++reign_;
+    beginDuty(duty_);
+    loggedPhases_.clear();
+}
+
+void DutyRunner::reported(const InstanceId& instance, const std::vector<EndpointReport>& reports)
+{
+    recordReports(duty_, instance, reports, Clock::now());
+    tick();
+}
+
+void DutyRunner::granted(const GroupId& group, std::optional<std::uint64_t> fence)
+{
+    finish(reign_, GrantResult { group, fence });
+}
+
+void DutyRunner::tick()
+{
+    if (!leading_ || !catalog_ || ticking_)
+        return;
+    ticking_ = true;
+    const auto actions = tickDuty(duty_, registry_, *catalog_, options_.promotion_, Clock::now());
+    logPhases();
+    for (const auto& action : actions)
+        std::visit([this](const auto& body) { carryOut(body); }, action);
+    ticking_ = false;
+    // An answer that came while the actions were carried out is taken up at once.
+    if (!actions.empty())
+        loop_.schedule(Clock::now(), [this] { tick(); });
+}
+
+void DutyRunner::logPhases()
+{
+    for (const auto& [id, group] : duty_.groups_) {
+        auto& logged = loggedPhases_[id];
+        if (logged == group.phase_)
+            continue;
+        logged = group.phase_;
+        LogLine(LogKind::Promotion, phaseName(group.phase_))
+            .with("group", id.value_)
+            .with("primary", group.primary_.value_)
+            .with("target", group.target_.value_)
+            .with("cause", causeName(group.cause_))
+            .with("fence", group.fence_)
+            .with("failed_probes", static_cast<std::uint64_t>(group.failedProbes_));
+    }
+}
+
+template <typename Result> void DutyRunner::finish(std::uint64_t reign, const Result& result)
+{
+    if (reign != reign_ || !leading_)
+        return;
+    handleResult(duty_, result);
+    tick();
+}
+
+void DutyRunner::carryOut(const ProbeAction& action)
+{
+    const auto record = registry_.records_.find(action.endpoint_);
+    if (record == registry_.records_.end())
+        return;
+    HttpCallRequest request { .address_ = record->second.address_,
+        .path_ = std::string(platform::healthPath),
+        .wantedHeader_ = std::string(platform::endpointHeader) };
+    calls_.call(
+        std::move(request), probeTime, [this, reign = reign_, id = action.endpoint_](const HttpCallResult& result) {
+            // Another endpoint may have taken the address.
+            const bool isOther = !result.wantedHeader_.empty() && result.wantedHeader_ != id.value_;
+            finish(reign, ProbeResult { id, result.status_ != 0 && !isOther });
+        });
+}
+
+void DutyRunner::carryOut(const SurveyAction& action)
+{
+    ask(action.endpoint_, action.pauseTerm_ > 0 ? platform::pauseText(action.pauseTerm_) : std::string());
+}
+
+void DutyRunner::carryOut(const StepDownAction& action)
+{
+    ask(action.endpoint_, platform::stepDownText(action.term_));
+}
+
+void DutyRunner::ask(const EndpointId& endpoint, std::string order)
+{
+    const auto record = registry_.records_.find(endpoint);
+    if (record == registry_.records_.end())
+        return;
+    const boost::intrusive_ptr<Survey> survey(new Survey);
+    survey->pending_
+        = platform::encodeOwn(order.empty() ? std::string(platform::statusText()) : order);
+    survey->done_ = [this, reign = reign_, endpoint](const std::optional<platform::DatabaseStatus>& status) {
+        SurveyResult result { endpoint, std::nullopt, 0 };
+        if (status) {
+            result.received_ = status->received_;
+            result.highestTerm_ = std::max(status->held_, status->received_.term_);
+        }
+        finish(reign, result);
+    };
+    survey->channel_ = sockets_.open(record->second.address_, surveyTime, surveyTime,
+        { .opened_ = {},
+            .received_ = [survey](std::string_view bytes) { return survey->receive(bytes); },
+            .closed_ = [survey] { survey->finish(); } });
+    survey->channel_->send(platform::encodeStart(record->second.group_, options_.holder_, endpoint));
+    loop_.schedule(Clock::now() + surveyTime, [survey] { survey->finish(); });
+}
+
+void DutyRunner::carryOut(const GrantAction& action)
+{
+    requestGrant_({ action.group_, action.endpoint_, options_.instance_ });
+}
+
+void DutyRunner::carryOut(const OrderAction& action)
+{
+    const auto order = platform::encodePromote(action.group_, action.endpoint_, options_.holder_, action.fence_);
+    HttpCallRequest request { .method_ = "POST",
+        .address_ = options_.authority_,
+        .path_ = std::string(platform::promotePath),
+        .headers_ = { { std::string(platform::holderHeaderName), order.holderHeader_ },
+            { std::string(platform::fenceHeaderName), order.fenceHeader_ } },
+        .body_ = order.body_ };
+    calls_.call(std::move(request), orderTime, [this, reign = reign_, action](const HttpCallResult& result) {
+        LogLine(LogKind::Promotion, "order_answered")
+            .with("group", action.group_.value_)
+            .with("target", action.endpoint_.value_)
+            .with("fence", action.fence_)
+            .with("status", static_cast<std::uint64_t>(result.status_));
+        OrderOutcome outcome = OrderOutcome::Unknown;
+        switch (platform::decodePromoteStatus(result.status_)) {
+        case platform::PromoteAnswer::Accepted:
+            outcome = OrderOutcome::Accepted;
+            break;
+        case platform::PromoteAnswer::Refused:
+            outcome = OrderOutcome::Refused;
+            break;
+        case platform::PromoteAnswer::Limited:
+            outcome = OrderOutcome::Limited;
+            break;
+        case platform::PromoteAnswer::Unknown:
+            break;
+        }
+        finish(reign, OrderResult { action.group_, outcome });
+    });
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/daemon/version/DutyRunner.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "cassiahollow/version/PromotionDuty.h"
+#include "connection/HttpCall.h"
+#include "connection/LineChannel.h"
+#include "process/EventLoop.h"
+#include "version/ControlTask.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cassiahollow {
+
+struct DutyRunnerOptions {
+    std::string holder_; ///< The name under which promotions are ordered.
+    InstanceId instance_;
+    std::string authority_; ///< ip:port
+    PromotionOptions promotion_;
+};
+
+/// Carries out the promotion duty while this control member leads: probes, surveys, and orders to the authority.
+class DutyRunner {
+public:
+    /// Asks the control log for a grant; answered through granted().
+    using RequestGrant = std::function<void(const GrantChange&)>;
+
+    DutyRunner(EventLoop&, DutyRunnerOptions, const EndpointRegistry&, RequestGrant);
+    DutyRunner(const DutyRunner&) = delete;
+    DutyRunner& operator=(const DutyRunner&) = delete;
+
+    /// The member begins or ceases to lead.
+    void setLeading(bool leading);
+    void setCatalog(std::shared_ptr<const RouteCatalog> catalog) { catalog_ = std::move(catalog); }
+    void reported(const InstanceId&, const std::vector<EndpointReport>&);
+    void granted(const GroupId&, std::optional<std::uint64_t> fence);
+    /// Has to be called several times a second.
+    void tick();
+
+private:
+    void carryOut(const ProbeAction&);
+    void carryOut(const SurveyAction&);
+    void carryOut(const StepDownAction&);
+    void carryOut(const GrantAction&);
+    void carryOut(const OrderAction&);
+    void ask(const EndpointId&, std::string order);
+    template <typename Result> void finish(std::uint64_t reign, const Result&);
+    void logPhases();
+
+    EventLoop& loop_;
+    const DutyRunnerOptions options_;
+    const EndpointRegistry& registry_;
+    const RequestGrant requestGrant_;
+    LineSockets sockets_;
+    HttpCalls calls_;
+    PromotionDuty duty_;
+    std::shared_ptr<const RouteCatalog> catalog_;
+    bool leading_ { false };
+    bool ticking_ { false };
+    std::uint64_t reign_ { 0 }; ///< Grows with each change of leadership; answers of older ones are dropped.
+    std::map<GroupId, PromotionPhase> loggedPhases_;
+};
+
+} // namespace cassiahollow
--- a/include/cassiahollow/process/PeerMessage.h
+++ b/include/cassiahollow/process/PeerMessage.h
@@ -15,6 +15,7 @@
     Membership = 2,
     Group = 3,
     Forward = 4,
+    Directory = 5,
 };
 
 /// A message between two instances with the identity of its sender.
--- /dev/null
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "cassiahollow/process/Types.h"
+#include "cassiahollow/version/RouteCatalog.h"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace cassiahollow {
+
+/// What an instance has learned of one endpoint from its own exchanges.
+///
+/// Answers the load patterns "one endpoint several times slower", "replicas far behind" and "an endpoint that sheds":
+/// statements move to the endpoints that answer, and come back by themselves when what was learned grows old.
+struct EndpointLoad {
+    std::size_t inFlight_ { 0 };
+    double responseSeconds_ { 0.02 }; ///< Smoothed time of an answer, with the wait at the endpoint.
+    TimePoint answered_; ///< The last answer; the epoch before the first.
+    TimePoint failingSince_; ///< The first failure after the last answer, or the epoch.
+    TimePoint avoidUntil_; ///< It shed or failed just now.
+    TimePoint fullUntil_; ///< It refused a connection because of its limit.
+    Duration lag_ { 0 }; ///< A replica was that far behind.
+    TimePoint lagLearned_;
+};
+
+/// Smooths response times over about eight answers.
+inline constexpr double responseSmoothing = 0.125;
+/// What was learned of response time and lag loses half of its weight in this time without new answers.
+inline constexpr Duration learningHalfLife = std::chrono::milliseconds(700);
+/// After a shed statement an endpoint gets no other for this long: about the time in which it works one off.
+inline constexpr Duration shedPause = std::chrono::milliseconds(25);
+/// After a lost connection an endpoint gets no new statement for this long, unless there is no other.
+inline constexpr Duration failurePause = std::chrono::milliseconds(250);
+/// After a refusal for too many connections no other is opened for this long.
+inline constexpr Duration fullPause = std::chrono::milliseconds(1500);
+/// An exchange without an answer for this long counts as a failure of the endpoint.
+inline constexpr Duration silenceLimit = std::chrono::milliseconds(300);
+
+void recordAnswer(EndpointLoad&, Duration response, TimePoint now);
+/// The endpoint lacked a position that a primary had `floorAge` ago.
+void recordBehind(EndpointLoad&, Duration floorAge, TimePoint now);
+/// The endpoint had a position that a primary had `floorAge` ago.
+void recordCaughtUp(EndpointLoad&, Duration floorAge);
+void recordShed(EndpointLoad&, TimePoint now);
+void recordFailure(EndpointLoad&, TimePoint now);
+void recordFull(EndpointLoad&, TimePoint now);
+bool isFailing(const EndpointLoad&);
+
+/// The expected lag now, and the expected time of an answer without this instance's own statements.
+Duration expectedLag(const EndpointLoad&, TimePoint now);
+double expectedResponse(const EndpointLoad&, TimePoint now);
+
+/// An endpoint that could run a read.
+struct PlacementCandidate {
+    std::size_t index_ { 0 }; ///< For the caller.
+    const EndpointLoad* load_ { nullptr };
+    std::size_t slots_ { 1 };
+    bool isPrimary_ { false };
+    bool isNear_ { false }; ///< In the instance's data centre.
+    bool wasTried_ { false }; ///< It has refused this statement.
+};
+
+/// What a read costs at the primary beyond its time: the time that writes, which can go nowhere else, wait for it.
+inline constexpr double primaryPenaltySeconds = 0.015;
+/// What a statement to another data centre costs beyond its time.
+inline constexpr double distancePenaltySeconds = 0.003;
+
+/// Chooses where a read with a floor of the given age runs: the endpoint with the least expected time among those that
+/// are expected to have caught up; a replica that is behind only when there is no other. Empty: no candidates.
+std::optional<std::size_t> placeRead(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
+
+/// How long a statement may wait at this instance for its start.
+struct WaitLimits {
+    TimePoint latestStart_; ///< Refused as not run when it has not started by then.
+};
+
+/// Time that an answer needs at least after its start, as a part of the objective.
+inline constexpr double serviceShare = 0.25;
+
+/// A statement that can be served waits until an answer within the objective is no longer to be expected: a later start
+/// takes a slot from one that is still on time. While the group has no primary, statements that need one wait for the
+/// change of primary instead, up to half of their time limit, because a retry could not be served earlier.
+WaitLimits waitLimits(const Route&, TimePoint arrived, bool waitsForPrimary);
+
+/// When a client whose statement was refused should come back: after the time in which the statements before it are
+/// worked off, and not before the group has a primary again.
+std::chrono::milliseconds comeBackAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary);
+
+/// How many connections an instance may hold to one endpoint: an equal share, the remainder to the first in rank, and
+/// one at least.
+std::size_t connectionShare(std::size_t limit, std::size_t instances, std::size_t rank);
+
+} // namespace cassiahollow
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -203,7 +203,13 @@
     std::shared_ptr<const SettingsTree> settings_;
 };
 
-using ControlAction = std::variant<PersistAction, SendAction, ApplySettingsAction, ApplyGroupAction, AnswerAction>;
+/// A newer catalog is in force.
+struct ApplyCatalogAction {
+    std::shared_ptr<const CatalogDocument> catalog_;
+};
+
+using ControlAction = std::variant<PersistAction, SendAction, ApplySettingsAction, ApplyGroupAction, ApplyCatalogAction,
+    AnswerAction>;
 
 /// Deviations from the rules of the log. Tests set one to show that the fault matrix detects it; the daemon sets none.
 struct ControlWrongRules {
@@ -231,6 +237,16 @@
     std::uint64_t keptEntries_ { 200 };
     /// Requests that may wait for their entries to be committed.
     std::size_t maximumPending_ { 1000 };
+    /// Whether this member may found the cluster. False on a member that starts again: its empty disk proves nothing
+    /// about those of the others.
+    bool mayFound_ { true };
+    /// Whether a leader admits members that no operator added. For deployments whose control machines come and go.
+    bool admitsUnknown_ { false };
+    /// With admitsUnknown_: a voter that was not heard for this long is removed while enough others remain. Longer than
+    /// a restart, so that a member that was only restarted keeps its place.
+    Duration removeSilentAfter_ { std::chrono::seconds(8) };
+    /// With admitsUnknown_: the number of voters that are kept although they are silent. Two of three are a majority.
+    std::size_t keptVoters_ { 3 };
     ControlWrongRules wrongRules_;
 };
 
@@ -264,6 +280,7 @@
 
 struct SeenHello {
     std::string identity_;
+    std::string cluster_; ///< Empty before founding.
     bool founded_ { false };
     TimePoint time_;
 };
--- a/include/cassiahollow/version/ControlState.h
+++ b/include/cassiahollow/version/ControlState.h
@@ -30,10 +30,44 @@
     bool operator==(const GroupMembersChange&) const = default;
 };
 
+/// A complete configuration of routes and groups, kept as the operator sent it so that it reads back unchanged.
+struct CatalogDocument {
+    std::uint64_t version_ { 0 }; ///< 0: none was accepted yet.
+    std::string document_; ///< The operator's bytes. The sender has checked them.
+
+    bool operator==(const CatalogDocument&) const = default;
+};
+
+/// Puts a catalog in force if its version is higher than the one in force; otherwise it changes nothing and is done.
+struct CatalogChange {
+    CatalogDocument catalog_;
+
+    bool operator==(const CatalogChange&) const = default;
+};
+
+/// The right to order one promotion. Fences grow with each grant of a group, so that an authority which remembers the
+/// highest one refuses every order that a newer grant has overtaken.
+struct PromotionGrant {
+    std::uint64_t fence_ { 0 };
+    EndpointId endpoint_; ///< The endpoint to promote.
+    InstanceId holder_; ///< The control member that orders it.
+
+    bool operator==(const PromotionGrant&) const = default;
+};
+
+/// Asks for the next grant of a group. The outcome's revision is its fence.
+struct GrantChange {
+    GroupId group_;
+    EndpointId endpoint_;
+    InstanceId holder_;
+
+    bool operator==(const GrantChange&) const = default;
+};
+
 /// A change that the control log decides. A repeated key gets the outcome of the first change with that key.
 struct ControlChange {
     std::string key_;
-    std::variant<SettingsChange, GroupMembersChange> command_;
+    std::variant<SettingsChange, GroupMembersChange, CatalogChange, GrantChange> command_;
 
     bool operator==(const ControlChange&) const = default;
 };
@@ -48,6 +82,7 @@
     /// Whether the outcome was decided by the log. Such an outcome is final for the key. Any other refusal is only
     /// true for the one message that it answers.
     bool decided_ { false };
+    std::uint64_t catalogVersion_ { 0 }; ///< For a read: the version of the catalog in force.
 
     bool operator==(const ChangeOutcome&) const = default;
 };
@@ -72,6 +107,8 @@
 struct ControlState {
     SettingsTree settings_;
     std::map<GroupId, GroupMembers> groups_;
+    CatalogDocument catalog_;
+    std::map<GroupId, PromotionGrant> grants_; ///< The last grant of each group.
     std::map<std::string, ChangeOutcome, std::less<>> outcomes_;
     std::deque<std::string> keys_; ///< The keys of outcomes_, oldest first.
 
--- /dev/null
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/process/EndpointRegistry.h"
+#include "cassiahollow/version/RouteCatalog.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cassiahollow {
+
+/// How the control leader replaces primaries through an outside authority. The authority carries an order out if its
+/// fence is not below one that it has seen, perhaps seconds later; so every order has a fence of its own from the
+/// control log, and is right even when an older one is carried out first.
+///
+/// All functions are pure: they change the state given and return what has to be done.
+
+/// Why a primary is replaced.
+enum class PromotionCause : std::uint8_t {
+    Failed, ///< Neither the leader nor most instances that use it reach it.
+    Leaving, ///< It has announced that it leaves.
+    Missing, ///< No endpoint of the group claims to be the primary.
+};
+
+/// Asks an endpoint on a new connection whether it is alive. Answered by a ProbeResult.
+struct ProbeAction {
+    EndpointId endpoint_;
+};
+/// Asks an endpoint for its position. With `pauseTerm_`, it also stops to receive, so that no later commit can be
+/// confirmed by it. Answered by a SurveyResult.
+struct SurveyAction {
+    EndpointId endpoint_;
+    Term pauseTerm_ { 0 };
+};
+/// Tells a primary that leaves to take no further writes below the term. Answered by a SurveyResult.
+struct StepDownAction {
+    EndpointId endpoint_;
+    Term term_ { 0 };
+};
+/// Asks the control log for a fence. Answered by a GrantResult.
+struct GrantAction {
+    GroupId group_;
+    EndpointId endpoint_;
+};
+/// Orders the promotion. Answered by an OrderResult.
+struct OrderAction {
+    GroupId group_;
+    EndpointId endpoint_;
+    std::uint64_t fence_ { 0 };
+};
+using PromotionAction = std::variant<ProbeAction, SurveyAction, StepDownAction, GrantAction, OrderAction>;
+
+struct ProbeResult {
+    EndpointId endpoint_;
+    bool alive_ { false };
+};
+struct SurveyResult {
+    EndpointId endpoint_;
+    std::optional<LogPosition> received_; ///< Empty: no answer.
+    Term highestTerm_ { 0 }; ///< The highest term that the endpoint knows.
+};
+struct GrantResult {
+    GroupId group_;
+    std::optional<std::uint64_t> fence_; ///< Empty: not granted, or not known.
+};
+enum class OrderOutcome : std::uint8_t {
+    Accepted,
+    Refused, ///< Not carried out: the fence was too low, or the endpoint is not running.
+    Limited, ///< Not carried out: too many calls.
+    Unknown, ///< It may be carried out later.
+};
+struct OrderResult {
+    GroupId group_;
+    OrderOutcome outcome_ { OrderOutcome::Unknown };
+};
+
+/// How far the replacement of a group's primary has come.
+enum class PromotionPhase : std::uint8_t {
+    Watching,
+    Probing, ///< The primary is suspected.
+    Surveying, ///< Positions are collected to choose the target.
+    Granting, ///< A fence is asked for.
+    SteppingDown, ///< A primary that leaves is told to stop.
+    CatchingUp, ///< The target receives what the primary had acknowledged.
+    Ordering,
+    Settling, ///< The order was accepted, or may be carried out late.
+};
+
+struct GroupPromotion {
+    PromotionPhase phase_ { PromotionPhase::Watching };
+    PromotionCause cause_ { PromotionCause::Failed };
+    EndpointId primary_; ///< The primary that is replaced, or empty.
+    EndpointId target_;
+    TimePoint phaseSince_;
+    TimePoint lastProbe_;
+    int failedProbes_ { 0 };
+    std::set<EndpointId> asked_; ///< Surveyed and not yet answered.
+    std::map<EndpointId, LogPosition> positions_;
+    std::size_t answersNeeded_ { 1 }; ///< Positions without which no target may be chosen.
+    std::uint64_t fence_ { 0 };
+    bool isOrderUnknown_ { false }; ///< The last order got no answer.
+    LogPosition stoppedAt_; ///< Where a primary that leaves has stopped.
+    Term highestTerm_ { 0 };
+    std::optional<bool> granted_; ///< The answer to the last GrantAction.
+    std::optional<OrderOutcome> ordered_; ///< The answer to the last OrderAction.
+    std::set<EndpointId> refused_; ///< Targets for which the last orders were refused.
+    TimePoint missingSince_; ///< When the group was first seen without a primary.
+    bool isMissing_ { false };
+};
+
+/// What one instance has last reported about an endpoint.
+struct InstanceView {
+    TimePoint reported_;
+    Duration answeredAgo_ { Duration::max() };
+    Duration failingFor_ { 0 };
+};
+
+struct PromotionDuty {
+    std::map<GroupId, GroupPromotion> groups_;
+    std::map<EndpointId, std::map<InstanceId, InstanceView>> views_;
+};
+
+/// Limits, from the promised time of a change of primary.
+struct PromotionOptions {
+    Duration heartbeatInterval_ { std::chrono::milliseconds(1200) };
+    /// Reports of instances count for this long: two intervals of the feed.
+    Duration reportLifetime_ { std::chrono::milliseconds(800) };
+    /// A primary that fails for an instance for less than this is not probed: one lost connection is no failure.
+    Duration suspicionAge_ { std::chrono::milliseconds(150) };
+    /// Time between two probes of a suspect.
+    Duration probeInterval_ { std::chrono::milliseconds(150) };
+    /// Failed probes in a row after which the leader itself takes an endpoint for unreachable.
+    int probesNeeded_ { 2 };
+    /// How long replicas are waited for that do not answer a survey.
+    Duration surveyTime_ { std::chrono::milliseconds(300) };
+    /// How long a replica may take to catch up with a primary that has stopped.
+    Duration catchUpTime_ { std::chrono::milliseconds(500) };
+    /// How long an accepted or unanswered order may take to show in the registry.
+    Duration settleTime_ { std::chrono::milliseconds(2500) };
+    /// How long an order without an answer is waited for before the same target is ordered with a higher fence.
+    Duration reorderTime_ { std::chrono::milliseconds(600) };
+    /// How long a new group may be without a primary before one is promoted.
+    Duration missingTime_ { std::chrono::seconds(3) };
+};
+
+/// The leader has just got the duty: whatever an earlier leader did may still be carried out.
+void beginDuty(PromotionDuty&);
+
+/// Takes in an instance's reports.
+void recordReports(PromotionDuty&, const InstanceId&, const std::vector<EndpointReport>&, TimePoint now);
+
+/// Has to be called several times a second, and after each recordReports().
+std::vector<PromotionAction> tickDuty(
+    PromotionDuty&, const EndpointRegistry&, const RouteCatalog&, const PromotionOptions&, TimePoint now);
+
+/// Take in the answers to actions. Answers that nobody waits for any more are ignored. The next step follows at the
+/// next tick, which should come at once.
+void handleResult(PromotionDuty&, const ProbeResult&);
+void handleResult(PromotionDuty&, const SurveyResult&);
+void handleResult(PromotionDuty&, const GrantResult&);
+void handleResult(PromotionDuty&, const OrderResult&);
+
+/// For log lines.
+std::string_view phaseName(PromotionPhase);
+std::string_view causeName(PromotionCause);
+
+} // namespace cassiahollow
--- /dev/null
+++ b/src/connection/SqlSession.cpp
@@ -0,0 +1,104 @@
+#include "cassiahollow/connection/SqlSession.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace cassiahollow {
+
+namespace {
+
+    constexpr std::size_t maximumReadableShape = 32;
+
+    bool holdsForeignValue(const ConnectionFit& fit, const SqlSession& session)
+    {
+        return std::any_of(fit.values_.begin(), fit.values_.end(),
+            [&](const auto& value) { return !session.values_.contains(value.first); });
+    }
+
+} // namespace
+
+bool isPromise(StatementError error)
+{
+    switch (error) {
+    case StatementError::Overloaded:
+    case StatementError::Aborted:
+    case StatementError::Behind:
+    case StatementError::NotPrimary:
+    case StatementError::WrongEndpoint:
+    case StatementError::ConnectionLimit:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string sharedName(const PreparedShape& shape)
+{
+    const std::string prefix = shape.writes_ ? "w" : "r";
+    const bool isReadable = shape.shape_.size() <= maximumReadableShape
+        && std::all_of(shape.shape_.begin(), shape.shape_.end(), [](unsigned char c) { return std::isalnum(c) != 0; });
+    if (isReadable)
+        return prefix + shape.shape_;
+    char digest[17];
+    std::snprintf(digest, sizeof(digest), "%016llx",
+        static_cast<unsigned long long>(XXH3_64bits(shape.shape_.data(), shape.shape_.size())));
+    return prefix + "_" + digest;
+}
+
+std::vector<FitStep> fitConnection(
+    ConnectionFit& fit, const SqlSession& session, const std::optional<PreparedShape>& needed)
+{
+    std::vector<FitStep> steps;
+    if (holdsForeignValue(fit, session)) {
+        steps.push_back({ FitStep::Kind::Discard, {}, {} });
+        fit = {};
+    }
+    for (const auto& [name, value] : session.values_) {
+        const auto held = fit.values_.find(name);
+        if (held != fit.values_.end() && held->second == value)
+            continue;
+        steps.push_back({ FitStep::Kind::Set, name, value });
+        fit.values_[name] = value;
+    }
+    if (needed && fit.prepared_.insert(*needed).second)
+        steps.push_back({ FitStep::Kind::Prepare, sharedName(*needed), needed->shape_, needed->writes_ });
+    return steps;
+}
+
+std::size_t fitCost(const ConnectionFit& fit, const SqlSession& session, const std::optional<PreparedShape>& needed)
+{
+    const bool discards = holdsForeignValue(fit, session);
+    const auto missing = static_cast<std::size_t>(
+        std::count_if(session.values_.begin(), session.values_.end(), [&](const auto& value) {
+            const auto held = fit.values_.find(value.first);
+            return discards || held == fit.values_.end() || held->second != value.second;
+        }));
+    const bool prepares = needed && (discards || !fit.prepared_.contains(*needed));
+    return missing + (discards ? 1 : 0) + (prepares ? 1 : 0);
+}
+
+bool setValue(SqlSession& session, const std::string& name, const std::string& value)
+{
+    if (!session.values_.contains(name) && session.values_.size() >= maximumSessionNames)
+        return false;
+    session.values_[name] = value;
+    return true;
+}
+
+bool prepare(SqlSession& session, const std::string& name, PreparedShape shape)
+{
+    if (!session.prepared_.contains(name) && session.prepared_.size() >= maximumSessionNames)
+        return false;
+    session.prepared_[name] = std::move(shape);
+    return true;
+}
+
+std::optional<PreparedShape> preparedShape(const SqlSession& session, const std::string& name)
+{
+    const auto found = session.prepared_.find(name);
+    return found == session.prepared_.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/src/process/DirectoryFeed.cpp
@@ -0,0 +1,200 @@
+#include "cassiahollow/process/DirectoryFeed.h"
+
+#include "cassiahollow/process/Reasons.h"
+
+#include <boost/leaf/error.hpp>
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace cassiahollow {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+    enum Kind : std::uint8_t { KindFeedRequest = 1, KindFeedAnswer, KindRegistryUpdate, KindReportRelay };
+
+    // An age that stands for "never".
+    constexpr std::int64_t noAge = -1;
+
+    std::int64_t toAge(Duration age)
+    {
+        return age == Duration::max() ? noAge : std::chrono::ceil<std::chrono::milliseconds>(age).count();
+    }
+
+    Duration fromAge(const json& in)
+    {
+        const auto age = in.get<std::int64_t>();
+        return age == noAge ? Duration::max() : Duration(std::chrono::milliseconds(age));
+    }
+
+    // Arrays in a fixed order are half as long as maps.
+    json toJson(const EndpointRecord& record, TimePoint now)
+    {
+        return json::array({ record.id_.value_, record.group_.value_, record.address_, record.dataCentre_.value_,
+            record.born_, record.sequence_, record.slots_, record.role_ == EndpointRole::Primary, record.leaving_,
+            record.gone_, toAge(record.warmUpLeft_), toAge(now - record.heard_), toAge(now - record.roleSince_) });
+    }
+
+    EndpointRecord recordFrom(const json& in, TimePoint now)
+    {
+        EndpointRecord record;
+        record.id_ = EndpointId(in.at(0).get<std::string>());
+        record.group_ = GroupId(in.at(1).get<std::string>());
+        record.address_ = in.at(2).get<std::string>();
+        record.dataCentre_ = DataCentre(in.at(3).get<std::string>());
+        record.born_ = in.at(4).get<std::uint64_t>();
+        record.sequence_ = in.at(5).get<std::uint64_t>();
+        record.slots_ = in.at(6).get<std::size_t>();
+        record.role_ = in.at(7).get<bool>() ? EndpointRole::Primary : EndpointRole::Replica;
+        record.leaving_ = in.at(8).get<bool>();
+        record.gone_ = in.at(9).get<bool>();
+        record.warmUpLeft_ = fromAge(in.at(10));
+        record.heard_ = now - fromAge(in.at(11));
+        record.roleSince_ = now - fromAge(in.at(12));
+        return record;
+    }
+
+    json toJson(const std::vector<EndpointRecord>& records, TimePoint now)
+    {
+        auto out = json::array();
+        for (const auto& record : records)
+            out.push_back(toJson(record, now));
+        return out;
+    }
+
+    std::vector<EndpointRecord> recordsFrom(const json& in, TimePoint now)
+    {
+        std::vector<EndpointRecord> records;
+        for (const auto& record : in)
+            records.push_back(recordFrom(record, now));
+        return records;
+    }
+
+    json toJson(const std::vector<InstanceId>& instances)
+    {
+        auto out = json::array();
+        for (const auto& instance : instances)
+            out.push_back(instance.value_);
+        return out;
+    }
+
+    std::vector<InstanceId> instancesFrom(const json& in)
+    {
+        std::vector<InstanceId> instances;
+        for (const auto& instance : in)
+            instances.emplace_back(instance.get<std::string>());
+        return instances;
+    }
+
+    json toJson(const std::vector<EndpointReport>& reports)
+    {
+        auto out = json::array();
+        for (const auto& report : reports) {
+            out.push_back(
+                json::array({ report.endpoint_.value_, toAge(report.answeredAgo_), toAge(report.failingFor_) }));
+        }
+        return out;
+    }
+
+    std::vector<EndpointReport> reportsFrom(const json& in)
+    {
+        std::vector<EndpointReport> reports;
+        for (const auto& report : in)
+            reports.push_back(
+                { EndpointId(report.at(0).get<std::string>()), fromAge(report.at(1)), fromAge(report.at(2)) });
+        return reports;
+    }
+
+    json toJson(const FeedRequest& message, TimePoint)
+    {
+        return json::array({ KindFeedRequest, message.number_, message.catalogVersion_, message.registryMark_,
+            message.takesRequests_, message.missesAnswers_, toJson(message.reports_) });
+    }
+
+    json toJson(const FeedAnswer& message, TimePoint now)
+    {
+        return json::array({ KindFeedAnswer, message.number_, message.confirmed_, message.catalogVersion_,
+            message.catalog_ ? json::array({ message.catalog_->version_,
+                                   json::binary({ message.catalog_->document_.begin(), message.catalog_->document_.end() }) })
+                             : json(),
+            message.registryMark_, message.records_ ? toJson(*message.records_, now) : json(), message.leader_.value_,
+            toJson(message.members_), message.instances_, message.rank_ });
+    }
+
+    json toJson(const RegistryUpdate& message, TimePoint now)
+    {
+        return json::array({ KindRegistryUpdate, toJson(message.records_, now), message.wantsAll_,
+            message.missesRecipient_, toJson(message.instances_) });
+    }
+
+    json toJson(const ReportRelay& message, TimePoint)
+    {
+        return json::array({ KindReportRelay, message.instance_.value_, toJson(message.reports_) });
+    }
+
+    FeedRequest requestFrom(const json& in)
+    {
+        return { in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>(), in.at(3).get<std::string>(),
+            in.at(4).get<bool>(), in.at(5).get<bool>(), reportsFrom(in.at(6)) };
+    }
+
+    FeedAnswer answerFrom(const json& in, TimePoint now)
+    {
+        FeedAnswer answer;
+        answer.number_ = in.at(1).get<std::uint64_t>();
+        answer.confirmed_ = in.at(2).get<bool>();
+        answer.catalogVersion_ = in.at(3).get<std::uint64_t>();
+        if (const auto& catalog = in.at(4); !catalog.is_null()) {
+            const auto& bytes = catalog.at(1).get_binary();
+            answer.catalog_ = std::make_shared<const CatalogDocument>(
+                CatalogDocument { catalog.at(0).get<std::uint64_t>(), std::string(bytes.begin(), bytes.end()) });
+        }
+        answer.registryMark_ = in.at(5).get<std::string>();
+        if (!in.at(6).is_null())
+            answer.records_ = recordsFrom(in.at(6), now);
+        answer.leader_ = InstanceId(in.at(7).get<std::string>());
+        answer.members_ = instancesFrom(in.at(8));
+        answer.instances_ = in.at(9).get<std::size_t>();
+        answer.rank_ = in.at(10).get<std::size_t>();
+        return answer;
+    }
+
+    DirectoryMessage messageFrom(const json& in, TimePoint now)
+    {
+        switch (in.at(0).get<int>()) {
+        case KindFeedRequest:
+            return requestFrom(in);
+        case KindFeedAnswer:
+            return answerFrom(in, now);
+        case KindRegistryUpdate:
+            return RegistryUpdate { recordsFrom(in.at(1), now), in.at(2).get<bool>(), in.at(3).get<bool>(),
+                instancesFrom(in.at(4)) };
+        case KindReportRelay:
+            return ReportRelay { InstanceId(in.at(1).get<std::string>()), reportsFrom(in.at(2)) };
+        default:
+            throw std::invalid_argument("the kind is not known");
+        }
+    }
+
+} // namespace
+
+std::string encodeDirectoryMessage(const DirectoryMessage& message, TimePoint now)
+{
+    std::string bytes;
+    json::to_msgpack(std::visit([&](const auto& body) { return toJson(body, now); }, message), bytes);
+    return bytes;
+}
+
+leaf::result<DirectoryMessage> decodeDirectoryMessage(std::string_view bytes, TimePoint now)
+{
+    try {
+        return messageFrom(json::from_msgpack(bytes.begin(), bytes.end()), now);
+    } catch (const std::exception& error) {
+        return leaf::new_error(Failure { Reason::MessageMalformed, error.what() });
+    }
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/src/process/EndpointRegistry.cpp
@@ -0,0 +1,102 @@
+#include "cassiahollow/process/EndpointRegistry.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cassiahollow {
+
+namespace {
+
+    bool differsForRouting(const EndpointRecord& a, const EndpointRecord& b)
+    {
+        return std::tie(a.group_, a.address_, a.dataCentre_, a.born_, a.slots_, a.role_, a.leaving_, a.gone_)
+            != std::tie(b.group_, b.address_, b.dataCentre_, b.born_, b.slots_, b.role_, b.leaving_, b.gone_);
+    }
+
+    // The endpoint that had the address before is gone, because addresses are used again only after their owner.
+    bool takeAddress(EndpointRegistry& registry, const EndpointRecord& record)
+    {
+        for (auto& [id, other] : registry.records_) {
+            if (id == record.id_ || other.gone_ || other.address_ != record.address_)
+                continue;
+            if (other.born_ > record.born_)
+                return false;
+            other.gone_ = true;
+            ++registry.revision_;
+        }
+        return true;
+    }
+
+} // namespace
+
+RegistryMerge mergeRecord(EndpointRegistry& registry, EndpointRecord record)
+{
+    const auto known = registry.records_.find(record.id_);
+    if (known != registry.records_.end()) {
+        const auto& old = known->second;
+        if (std::tie(record.born_, record.sequence_) < std::tie(old.born_, old.sequence_))
+            return RegistryMerge::Stale;
+        const bool isRepeated = record.born_ == old.born_ && record.sequence_ == old.sequence_;
+        if (isRepeated && (old.gone_ || !record.gone_))
+            return RegistryMerge::Stale;
+        // A process that has signed off says nothing more; reports that were under way are late.
+        if (old.gone_ && record.born_ == old.born_)
+            return RegistryMerge::Stale;
+        if (record.born_ == old.born_ && record.role_ == old.role_)
+            record.roleSince_ = std::min(record.roleSince_, old.roleSince_);
+    }
+    if (!record.gone_ && !takeAddress(registry, record))
+        return RegistryMerge::Stale;
+    if (known == registry.records_.end()) {
+        registry.records_.emplace(record.id_, std::move(record));
+        ++registry.revision_;
+        return RegistryMerge::Changed;
+    }
+    const bool changed = differsForRouting(known->second, record);
+    known->second = std::move(record);
+    registry.revision_ += changed ? 1 : 0;
+    return changed ? RegistryMerge::Changed : RegistryMerge::Refreshed;
+}
+
+RegistryMerge removeRecord(EndpointRegistry& registry, const EndpointId& id, TimePoint now)
+{
+    const auto known = registry.records_.find(id);
+    if (known == registry.records_.end() || known->second.gone_)
+        return RegistryMerge::Stale;
+    known->second.gone_ = true;
+    known->second.heard_ = now;
+    ++registry.revision_;
+    return RegistryMerge::Changed;
+}
+
+void expireRecords(EndpointRegistry& registry, TimePoint now)
+{
+    const auto dropped = std::erase_if(
+        registry.records_, [&](const auto& item) { return now - item.second.heard_ > registryLifetime; });
+    registry.revision_ += dropped > 0 ? 1 : 0;
+}
+
+const EndpointRecord* primaryOf(const EndpointRegistry& registry, const GroupId& group)
+{
+    const EndpointRecord* primary = nullptr;
+    for (const auto& [id, record] : registry.records_) {
+        if (record.group_ != group || record.gone_ || record.role_ != EndpointRole::Primary)
+            continue;
+        if (!primary || record.roleSince_ > primary->roleSince_)
+            primary = &record;
+    }
+    return primary;
+}
+
+std::vector<const EndpointRecord*> endpointsOf(const EndpointRegistry& registry, const GroupId& group)
+{
+    std::vector<const EndpointRecord*> endpoints;
+    for (const auto& [id, record] : registry.records_) {
+        if (record.group_ == group && !record.gone_)
+            endpoints.push_back(&record);
+    }
+    return endpoints;
+}
+
+} // namespace cassiahollow
--- a/src/process/PeerMessage.cpp
+++ b/src/process/PeerMessage.cpp
@@ -48,7 +48,7 @@
     wire::Envelope envelope;
     if (!envelope.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         return boost::leaf::new_error(Failure { Reason::MessageMalformed, "envelope" });
-    if (envelope.sender().empty() || envelope.kind() < wire::CONTROL || envelope.kind() > wire::FORWARD)
+    if (envelope.sender().empty() || envelope.kind() < wire::CONTROL || envelope.kind() > wire::DIRECTORY)
         return boost::leaf::new_error(Failure { Reason::MessageMalformed, "sender or kind" });
     PeerMessage message;
     message.sender_ = InstanceId(envelope.sender());
--- /dev/null
+++ b/src/request/PositionSamples.cpp
@@ -0,0 +1,52 @@
+#include "cassiahollow/request/PositionSamples.h"
+
+#include <algorithm>
+
+namespace cassiahollow {
+
+void addSample(PositionSamples& state, PositionSample sample, TimePoint now)
+{
+    auto& samples = state.samples_;
+    if (!samples.empty()) {
+        const auto newest = samples.back();
+        if (sample.position_.term_ < newest.position_.term_)
+            return;
+        if (sample.position_.term_ > newest.position_.term_) {
+            samples.clear();
+        } else {
+            // Answers may cross: an older question never lowers what a newer one proved, and its position also holds
+            // for every commit acknowledged before the newer question.
+            if (sample.asked_ <= newest.asked_)
+                return;
+            if (sample.position_.index_ < newest.position_.index_)
+                sample.position_ = newest.position_;
+            const bool isClose = samples.size() > 1 && sample.asked_ - samples[samples.size() - 2].asked_ < sampleSpacing;
+            if (isClose) {
+                samples.back() = sample;
+                return;
+            }
+        }
+    }
+    samples.push_back(sample);
+    while (samples.size() > 1 && now - samples.front().asked_ > sampleLifetime)
+        samples.pop_front();
+}
+
+std::optional<PositionSample> floorSample(const PositionSamples& state, TimePoint notBefore)
+{
+    const auto found = std::lower_bound(state.samples_.begin(), state.samples_.end(), notBefore,
+        [](const PositionSample& sample, TimePoint time) { return sample.asked_ < time; });
+    return found == state.samples_.end() ? std::nullopt : std::optional(*found);
+}
+
+std::optional<PositionSample> newestSample(const PositionSamples& state)
+{
+    return state.samples_.empty() ? std::nullopt : std::optional(state.samples_.back());
+}
+
+LogPosition sessionFloor(const PositionSample& sample, const LogPosition& ownCommit)
+{
+    return std::max(sample.position_, ownCommit);
+}
+
+} // namespace cassiahollow
--- /dev/null
+++ b/src/request/StatementPlacement.cpp
@@ -0,0 +1,127 @@
+#include "cassiahollow/request/StatementPlacement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cassiahollow {
+
+namespace {
+
+    // The response time assumed of an endpoint of which nothing is known any more.
+    constexpr double usualResponseSeconds = 0.02;
+    // Connections of an endpoint that are left to the control members' questions.
+    constexpr std::size_t reservedConnections = 1;
+    constexpr double shortestComeBackSeconds = 0.05;
+    constexpr double longestComeBackSeconds = 2;
+    // A change of primary is over within about this time.
+    constexpr double promotionSeconds = 0.5;
+
+    double weightLeft(Duration age)
+    {
+        return std::exp2(-std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(learningHalfLife)));
+    }
+
+} // namespace
+
+void recordAnswer(EndpointLoad& load, Duration response, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(response).count();
+    load.responseSeconds_ = expectedResponse(load, now) * (1 - responseSmoothing) + seconds * responseSmoothing;
+    load.answered_ = now;
+    load.failingSince_ = {};
+}
+
+void recordBehind(EndpointLoad& load, Duration floorAge, TimePoint now)
+{
+    // It may be anywhere beyond the age; a little more keeps the next reads of the same age away.
+    load.lag_ = std::max(expectedLag(load, now), floorAge + floorAge / 4 + std::chrono::milliseconds(5));
+    load.lagLearned_ = now;
+}
+
+void recordCaughtUp(EndpointLoad& load, Duration floorAge)
+{
+    load.lag_ = std::min(load.lag_, std::max(floorAge, Duration::zero()));
+}
+
+void recordShed(EndpointLoad& load, TimePoint now)
+{
+    load.avoidUntil_ = std::max(load.avoidUntil_, now + shedPause);
+}
+
+void recordFailure(EndpointLoad& load, TimePoint now)
+{
+    if (load.failingSince_ == TimePoint())
+        load.failingSince_ = now;
+    load.avoidUntil_ = std::max(load.avoidUntil_, now + failurePause);
+}
+
+void recordFull(EndpointLoad& load, TimePoint now)
+{
+    load.fullUntil_ = now + fullPause;
+}
+
+bool isFailing(const EndpointLoad& load)
+{
+    return load.failingSince_ != TimePoint();
+}
+
+Duration expectedLag(const EndpointLoad& load, TimePoint now)
+{
+    const auto lag = std::chrono::duration<double>(load.lag_) * weightLeft(now - load.lagLearned_);
+    return std::chrono::duration_cast<Duration>(lag);
+}
+
+double expectedResponse(const EndpointLoad& load, TimePoint now)
+{
+    if (load.answered_ == TimePoint())
+        return usualResponseSeconds;
+    const double weight = weightLeft(now - load.answered_);
+    return load.responseSeconds_ * weight + usualResponseSeconds * (1 - weight);
+}
+
+std::optional<std::size_t> placeRead(
+    const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
+{
+    const PlacementCandidate* best = nullptr;
+    double bestSeconds = 0;
+    for (const auto& candidate : candidates) {
+        const auto& load = *candidate.load_;
+        const double share = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
+        double seconds = expectedResponse(load, now) * std::max(1.0, share);
+        seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
+        seconds += candidate.isNear_ ? 0 : distancePenaltySeconds;
+        // Each of these goes before any difference in time, the last ones before the first.
+        const bool isBehind = !candidate.isPrimary_ && expectedLag(load, now) > floorAge;
+        seconds += isBehind ? 10 : 0;
+        seconds += now < load.avoidUntil_ ? 20 : 0;
+        seconds += candidate.wasTried_ ? 40 : 0;
+        if (!best || seconds < bestSeconds) {
+            best = &candidate;
+            bestSeconds = seconds;
+        }
+    }
+    return best ? std::optional(best->index_) : std::nullopt;
+}
+
+WaitLimits waitLimits(const Route& route, TimePoint arrived, bool waitsForPrimary)
+{
+    const auto onTime = std::chrono::duration_cast<Duration>(route.objective_ * (1 - serviceShare));
+    const auto withoutPrimary = std::chrono::duration_cast<Duration>(route.statementTimeout_) / 2;
+    return { arrived + (waitsForPrimary ? std::max(onTime, withoutPrimary) : onTime) };
+}
+
+std::chrono::milliseconds comeBackAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary)
+{
+    const double seconds = static_cast<double>(waiting) * responseSeconds + (waitsForPrimary ? promotionSeconds : 0);
+    const double bounded = std::clamp(seconds, shortestComeBackSeconds, longestComeBackSeconds);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(bounded));
+}
+
+std::size_t connectionShare(std::size_t limit, std::size_t instances, std::size_t rank)
+{
+    const std::size_t usable = limit > reservedConnections ? limit - reservedConnections : 1;
+    const std::size_t holders = std::max<std::size_t>(instances, 1);
+    return std::max<std::size_t>(1, usable / holders + (rank < usable % holders ? 1 : 0));
+}
+
+} // namespace cassiahollow
--- a/src/version/ControlCodec.cpp
+++ b/src/version/ControlCodec.cpp
@@ -107,6 +107,17 @@
         return members;
     }
 
+    void toWire(const CatalogDocument& catalog, wire::ControlCatalog& out)
+    {
+        out.set_version(catalog.version_);
+        out.set_document(catalog.document_);
+    }
+
+    CatalogDocument fromWire(const wire::ControlCatalog& in)
+    {
+        return { in.version(), in.document() };
+    }
+
     void toWire(const ControlChange& change, wire::ControlChange& out)
     {
         out.set_key(change.key_);
@@ -122,6 +133,14 @@
             }
             return;
         }
+        if (const auto* catalog = std::get_if<CatalogChange>(&change.command_))
+            return toWire(catalog->catalog_, *out.mutable_catalog());
+        if (const auto* grant = std::get_if<GrantChange>(&change.command_)) {
+            out.mutable_grant()->set_group(grant->group_.value_);
+            out.mutable_grant()->set_endpoint(grant->endpoint_.value_);
+            out.mutable_grant()->set_holder(grant->holder_.value_);
+            return;
+        }
         const auto& group = std::get<GroupMembersChange>(change.command_);
         toWire(group.group_, group.seenVersion_, group.members_, *out.mutable_group());
     }
@@ -146,6 +165,13 @@
             change.command_
                 = GroupMembersChange { GroupId(in.group().group()), in.group().version(), membersFromWire(in.group()) };
             break;
+        case wire::ControlChange::kCatalog:
+            change.command_ = CatalogChange { fromWire(in.catalog()) };
+            break;
+        case wire::ControlChange::kGrant:
+            change.command_ = GrantChange { GroupId(in.grant().group()), EndpointId(in.grant().endpoint()),
+                InstanceId(in.grant().holder()) };
+            break;
         case wire::ControlChange::COMMAND_NOT_SET:
             return malformed("a change has no command");
         }
@@ -161,6 +187,7 @@
             out.set_reason(std::string(reasonInfo(*outcome.reason_).name_));
         out.set_detail(outcome.detail_);
         out.set_decided(outcome.decided_);
+        out.set_catalog_version(outcome.catalogVersion_);
     }
 
     leaf::result<ChangeOutcome> fromWire(const wire::ControlOutcome& in)
@@ -170,7 +197,8 @@
         ChangeOutcome outcome { .outcome_ = static_cast<Outcome>(in.outcome()),
             .revision_ = in.revision(),
             .detail_ = in.detail(),
-            .decided_ = in.decided() };
+            .decided_ = in.decided(),
+            .catalogVersion_ = in.catalog_version() };
         if (in.reason().empty())
             return outcome;
         const auto& reasons = allReasons();
@@ -260,6 +288,15 @@
         toWire(snapshot.state_.settings_, *out.mutable_settings());
         for (const auto& [group, members] : snapshot.state_.groups_)
             toWire(group, members.version_, members.members_, *out.add_groups());
+        if (snapshot.state_.catalog_.version_ > 0)
+            toWire(snapshot.state_.catalog_, *out.mutable_catalog());
+        for (const auto& [group, grant] : snapshot.state_.grants_) {
+            auto& item = *out.add_grants();
+            item.set_group(group.value_);
+            item.set_endpoint(grant.endpoint_.value_);
+            item.set_holder(grant.holder_.value_);
+            item.set_fence(grant.fence_);
+        }
         for (const auto& key : snapshot.state_.keys_) {
             const auto outcome = snapshot.state_.outcomes_.find(key);
             if (outcome == snapshot.state_.outcomes_.end())
@@ -281,6 +318,11 @@
         BOOST_LEAF_ASSIGN(state.settings_, fromWire(in.settings()));
         for (const auto& group : in.groups())
             state.groups_[GroupId(group.group())] = { group.version(), membersFromWire(group) };
+        state.catalog_ = fromWire(in.catalog());
+        for (const auto& grant : in.grants()) {
+            state.grants_[GroupId(grant.group())]
+                = { grant.fence(), EndpointId(grant.endpoint()), InstanceId(grant.holder()) };
+        }
         if (static_cast<std::size_t>(in.outcomes_size()) > maximumChangeKeys)
             return malformed("a snapshot has too many keys");
         for (const auto& item : in.outcomes()) {
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -14,6 +14,8 @@
     constexpr std::size_t maximumAppendEntries = 256;
     // Operations in one message, to bound its size.
     constexpr std::size_t maximumAppendOperations = 2000;
+    // The usual size of an operation; converts the size of a catalog into operations.
+    constexpr std::size_t operationBytes = 128;
     // A snapshot is a few megabytes at most and is sent again only after this time.
     constexpr Duration snapshotResend = std::chrono::seconds(1);
     // A hello counts this many hello intervals, so that a lost one does no harm.
@@ -180,7 +182,12 @@
         auto settings = std::make_shared<const SettingsTree>(step.state_.control_.settings_);
         const auto revision = settings->revision_;
         answer(
-            step, origin, { .outcome_ = Outcome::Done, .revision_ = revision, .decided_ = true }, std::move(settings));
+            step, origin,
+            { .outcome_ = Outcome::Done,
+                .revision_ = revision,
+                .decided_ = true,
+                .catalogVersion_ = step.state_.control_.catalog_.version_ },
+            std::move(settings));
     }
 
     void leaveLeadership(Step& step)
@@ -250,6 +257,8 @@
             if (const auto* change = std::get_if<ControlChange>(&request.entries_.back().body_)) {
                 if (const auto* settings = std::get_if<SettingsChange>(&change->command_))
                     operations += settings->operations_.size();
+                else if (const auto* catalog = std::get_if<CatalogChange>(&change->command_))
+                    operations += catalog->catalog_.document_.size() / operationBytes;
             }
         }
         send(step, member.instance_, member.identity_, std::move(request));
@@ -337,10 +346,17 @@
             ApplySettingsAction { std::make_shared<const SettingsTree>(step.state_.control_.settings_) });
     }
 
+    void reportCatalog(Step& step)
+    {
+        step.applies_.emplace_back(
+            ApplyCatalogAction { std::make_shared<const CatalogDocument>(step.state_.control_.catalog_) });
+    }
+
     void applyCommitted(Step& step)
     {
         auto& state = step.state_;
         const auto before = state.control_.settings_.revision_;
+        const auto catalogBefore = state.control_.catalog_.version_;
         std::set<GroupId> groups;
         while (state.applied_ < state.commit_) {
             const auto& entry = entryAt(state.stored_, ++state.applied_);
@@ -364,6 +380,8 @@
         }
         if (state.control_.settings_.revision_ != before)
             reportSettings(step);
+        if (state.control_.catalog_.version_ != catalogBefore)
+            reportCatalog(step);
         for (const auto& group : groups) {
             if (const auto found = state.control_.groups_.find(group); found != state.control_.groups_.end())
                 step.applies_.emplace_back(ApplyGroupAction { found->first, found->second });
@@ -496,7 +514,7 @@
     void sayHello(Step& step)
     {
         auto& state = step.state_;
-        if (!state.configuration_)
+        if (!state.configuration_ && state.options_.mayFound_)
             foundIfPossible(step);
         // A member that was removed while it was away does not know it, but hears no leader.
         const bool isInPlace
@@ -551,6 +569,27 @@
         return false;
     }
 
+    // Removes a voter that has been silent for long, so that the next loss does not cost the majority.
+    bool removeSilentVoter(Step& step)
+    {
+        auto& state = step.state_;
+        if (!state.options_.admitsUnknown_ || voterCount(*state.configuration_) <= state.options_.keptVoters_)
+            return false;
+        for (const auto& member : state.configuration_->members_) {
+            const auto progress = state.progress_.find(member.identity_);
+            if (!member.voter_ || progress == state.progress_.end()
+                || isRecent(progress->second.heard_, state.options_.removeSilentAfter_, step.now_))
+                continue;
+            auto next = *state.configuration_;
+            std::erase_if(next.members_, [&](const auto& m) { return m.identity_ == member.identity_; });
+            if (!hasMajority(next, [&](const std::string& identity) { return isAlive(step, identity); }))
+                continue;
+            propose(step, std::move(next), std::nullopt);
+            return true;
+        }
+        return false;
+    }
+
     // Admits, as a learner, the new identity of a member whose disk came back empty.
     void admitNewIdentity(Step& step)
     {
@@ -568,7 +607,7 @@
                 isRunning |= member.instance_ == instance && isAlive(step, member.identity_);
             }
             // An instance that also answers with its old identity runs twice; the operator has to stop one of them.
-            if (!isKnown || isRunning)
+            if (isRunning || (!isKnown && !state.options_.admitsUnknown_) || (hello.founded_ && hello.cluster_ != state.configuration_->cluster_))
                 continue;
             std::erase_if(next.members_, [&](const auto& m) { return m.instance_ == instance && !m.voter_; });
             next.members_.push_back({ instance, hello.identity_, false });
@@ -584,7 +623,7 @@
             becomeFollower(step, state.stored_.promise_.term_);
             return;
         }
-        if (mayChangeConfiguration(state) && !promoteLearner(step))
+        if (mayChangeConfiguration(state) && !promoteLearner(step) && !removeSilentVoter(step))
             admitNewIdentity(step);
         if (isLeader(state) && step.now_ - state.lastBroadcast_ >= state.options_.heartbeatInterval_)
             broadcast(step);
@@ -736,7 +775,7 @@
         auto& state = step.state_;
         if (message.senderIdentity_.empty())
             return;
-        state.hellos_[message.sender_] = { message.senderIdentity_, hello.founded_, step.now_ };
+        state.hellos_[message.sender_] = { message.senderIdentity_, message.cluster_, hello.founded_, step.now_ };
         // Bounds the memory that hellos of instances without a place in the cluster take.
         std::erase_if(state.hellos_, [&](const auto& item) { return !isFreshHello(step, item.second); });
         if (hello.answerWanted_)
@@ -857,11 +896,14 @@
         if (last.index_ > state.commit_) {
             persist(step, { .snapshot_ = request.snapshot_, .keepFrom_ = last.index_ + 1 });
             const auto before = state.control_.settings_.revision_;
+            const auto catalogBefore = state.control_.catalog_.version_;
             state.control_ = request.snapshot_->state_;
             state.commit_ = last.index_;
             state.applied_ = last.index_;
             if (state.control_.settings_.revision_ != before)
                 reportSettings(step);
+            if (state.control_.catalog_.version_ != catalogBefore)
+                reportCatalog(step);
             for (const auto& [group, members] : state.control_.groups_)
                 step.applies_.emplace_back(ApplyGroupAction { group, members });
         }
--- a/src/version/ControlState.cpp
+++ b/src/version/ControlState.cpp
@@ -16,6 +16,8 @@
     // Bounds a log entry, and with it the messages that carry up to a few of them.
     constexpr std::size_t maximumChangeBytes = 256 * 1024;
     constexpr std::size_t maximumEndpointName = 128;
+    // Twice the longest body that operators may send.
+    constexpr std::size_t maximumCatalogBytes = 512 * 1024;
 
     auto failure(Reason reason, std::string detail)
     {
@@ -56,6 +58,20 @@
         return current.version_ + 1;
     }
 
+    leaf::result<std::uint64_t> apply(ControlState& state, const CatalogChange& change, const std::string&)
+    {
+        if (change.catalog_.version_ > state.catalog_.version_)
+            state.catalog_ = change.catalog_;
+        return state.catalog_.version_;
+    }
+
+    leaf::result<std::uint64_t> apply(ControlState& state, const GrantChange& change, const std::string&)
+    {
+        auto& grant = state.grants_[change.group_];
+        grant = { grant.fence_ + 1, change.endpoint_, change.holder_ };
+        return grant.fence_;
+    }
+
 } // namespace
 
 ChangeOutcome undecidedOutcome(Outcome outcome, Reason reason, std::string detail)
@@ -96,9 +112,19 @@
             return failure(Reason::SettingsInvalid, "the change is too large; split it");
         return {};
     }
-    const auto& group = std::get<GroupMembersChange>(change.command_);
     const auto isId
         = [](const std::string& id) { return !id.empty() && id.size() <= maximumEndpointName && isPrintable(id); };
+    if (const auto* catalog = std::get_if<CatalogChange>(&change.command_)) {
+        if (catalog->catalog_.version_ == 0 || catalog->catalog_.document_.size() > maximumCatalogBytes)
+            return failure(Reason::SettingsInvalid, "a catalog needs a version above 0 and at most 512 KB");
+        return {};
+    }
+    if (const auto* grant = std::get_if<GrantChange>(&change.command_)) {
+        if (!isId(grant->group_.value_) || !isId(grant->endpoint_.value_) || !isId(grant->holder_.value_))
+            return failure(Reason::SettingsInvalid, "a grant names a group, an endpoint and a holder");
+        return {};
+    }
+    const auto& group = std::get<GroupMembersChange>(change.command_);
     if (!isId(group.group_.value_) || group.members_.size() > maximumGroupMembers
         || !std::all_of(group.members_.begin(), group.members_.end(), [&](const auto& m) { return isId(m.value_); }))
         return failure(Reason::SettingsInvalid, "a group has at most 9 members, and names of printable characters");
