--- /dev/null
+++ b/src/version/PromotionDuty.cpp
@@ -0,0 +1,383 @@
+#include "cassiahollow/version/PromotionDuty.h"
+
+#include <algorithm>
+
+namespace cassiahollow {
+
+namespace {
+
+    // Two heartbeats may be lost before silence counts.
+    constexpr int silentHeartbeats = 3;
+
+    struct Turn {
+        PromotionDuty& duty_;
+        const EndpointRegistry& registry_;
+        const RouteCatalog& catalog_;
+        const PromotionOptions& options_;
+        TimePoint now_;
+        std::vector<PromotionAction> actions_;
+    };
+
+    void enter(Turn& turn, GroupPromotion& group, PromotionPhase phase)
+    {
+        group.phase_ = phase;
+        group.phaseSince_ = turn.now_;
+    }
+
+    // How the instances that have lately used an endpoint see it.
+    struct Verdict {
+        std::size_t answered_ { 0 };
+        std::size_t failing_ { 0 };
+    };
+
+    Verdict verdictOf(const Turn& turn, const EndpointId& endpoint)
+    {
+        Verdict verdict;
+        const auto views = turn.duty_.views_.find(endpoint);
+        if (views == turn.duty_.views_.end())
+            return verdict;
+        for (const auto& [instance, view] : views->second) {
+            if (turn.now_ - view.reported_ > turn.options_.reportLifetime_)
+                continue;
+            if (view.failingFor_ >= turn.options_.suspicionAge_)
+                ++verdict.failing_;
+            else if (view.failingFor_ == Duration::zero() && view.answeredAgo_ < turn.options_.reportLifetime_)
+                ++verdict.answered_;
+        }
+        return verdict;
+    }
+
+    bool isSilent(const Turn& turn, const EndpointRecord& record)
+    {
+        return turn.now_ - record.heard_ > silentHeartbeats * turn.options_.heartbeatInterval_;
+    }
+
+    std::vector<const EndpointRecord*> candidates(const Turn& turn, const GroupId& id, const GroupPromotion& group)
+    {
+        auto endpoints = endpointsOf(turn.registry_, id);
+        std::erase_if(endpoints, [&](const EndpointRecord* record) {
+            return record->leaving_ || record->id_ == group.primary_ || isSilent(turn, *record);
+        });
+        return endpoints;
+    }
+
+    void beginSurvey(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        group.positions_.clear();
+        group.asked_.clear();
+        group.granted_.reset();
+        group.ordered_.reset();
+        const auto* rules = findGroup(turn.catalog_, id);
+        const auto synchronous = rules ? rules->synchronousReplicas_ : 0;
+        const auto replicas = candidates(turn, id, group);
+        // With synchronous replicas, each set of this size holds one that has every acknowledged commit. A primary that
+        // leaves is stopped and asked itself.
+        const bool needsOverlap = synchronous > 0 && group.cause_ != PromotionCause::Leaving;
+        group.answersNeeded_ = needsOverlap && replicas.size() >= synchronous ? replicas.size() - synchronous + 1 : 1;
+        const Term pauseTerm = needsOverlap && group.highestTerm_ > 0 ? group.highestTerm_ + 1 : 0;
+        for (const auto* record : replicas) {
+            group.asked_.insert(record->id_);
+            turn.actions_.emplace_back(SurveyAction { record->id_, pauseTerm });
+        }
+        if (group.cause_ == PromotionCause::Leaving) {
+            group.asked_.insert(group.primary_);
+            turn.actions_.emplace_back(SurveyAction { group.primary_, 0 });
+        }
+        enter(turn, group, PromotionPhase::Surveying);
+    }
+
+    void begin(Turn& turn, const GroupId& id, GroupPromotion& group, PromotionCause cause)
+    {
+        group.cause_ = cause;
+        group.refused_.clear();
+        group.stoppedAt_ = {};
+        beginSurvey(turn, id, group);
+    }
+
+    void watch(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        const auto* primary = primaryOf(turn.registry_, id);
+        if (!primary) {
+            if (!group.isMissing_) {
+                group.isMissing_ = true;
+                group.missingSince_ = turn.now_;
+            }
+            group.primary_ = {};
+            if (turn.now_ - group.missingSince_ > turn.options_.missingTime_ && !candidates(turn, id, group).empty())
+                begin(turn, id, group, PromotionCause::Missing);
+            return;
+        }
+        group.isMissing_ = false;
+        group.primary_ = primary->id_;
+        if (candidates(turn, id, group).empty())
+            return;
+        if (primary->leaving_)
+            return begin(turn, id, group, PromotionCause::Leaving);
+        const bool isSuspected = verdictOf(turn, primary->id_).failing_ > 0 || isSilent(turn, *primary);
+        if (!isSuspected || turn.now_ - group.lastProbe_ < turn.options_.probeInterval_)
+            return;
+        group.failedProbes_ = 0;
+        group.lastProbe_ = turn.now_;
+        turn.actions_.emplace_back(ProbeAction { primary->id_ });
+        enter(turn, group, PromotionPhase::Probing);
+    }
+
+    void probe(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        if (group.failedProbes_ < turn.options_.probesNeeded_) {
+            if (turn.now_ - group.lastProbe_ >= turn.options_.probeInterval_) {
+                group.lastProbe_ = turn.now_;
+                turn.actions_.emplace_back(ProbeAction { group.primary_ });
+            }
+            return;
+        }
+        // A leader that is cut off from the primary alone must not replace it.
+        const auto verdict = verdictOf(turn, group.primary_);
+        if (verdict.answered_ > verdict.failing_) {
+            enter(turn, group, PromotionPhase::Watching);
+            return;
+        }
+        begin(turn, id, group, PromotionCause::Failed);
+    }
+
+    void chooseTarget(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
+        if (!group.asked_.empty() && !isTimeOver)
+            return;
+        const EndpointRecord* best = nullptr;
+        std::size_t answers = 0;
+        for (const auto* record : candidates(turn, id, group)) {
+            const auto position = group.positions_.find(record->id_);
+            if (position == group.positions_.end())
+                continue;
+            ++answers;
+            if (group.refused_.contains(record->id_))
+                continue;
+            if (!best || position->second > group.positions_.at(best->id_))
+                best = record;
+        }
+        if (!best || answers < group.answersNeeded_) {
+            group.refused_.clear();
+            if (isTimeOver)
+                enter(turn, group, PromotionPhase::Watching);
+            return;
+        }
+        group.target_ = best->id_;
+        group.granted_.reset();
+        turn.actions_.emplace_back(GrantAction { id, group.target_ });
+        enter(turn, group, PromotionPhase::Granting);
+    }
+
+    void order(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        group.ordered_.reset();
+        group.isOrderUnknown_ = false;
+        turn.actions_.emplace_back(OrderAction { id, group.target_, group.fence_ });
+        enter(turn, group, PromotionPhase::Ordering);
+    }
+
+    void afterGrant(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        if (!group.granted_)
+            return;
+        if (!*group.granted_)
+            return enter(turn, group, PromotionPhase::Watching);
+        const bool canStop = group.cause_ == PromotionCause::Leaving && group.stoppedAt_ == LogPosition {}
+            && group.positions_.contains(group.primary_);
+        if (!canStop)
+            return order(turn, id, group);
+        group.asked_ = { group.primary_ };
+        turn.actions_.emplace_back(StepDownAction { group.primary_, group.highestTerm_ + 1 });
+        enter(turn, group, PromotionPhase::SteppingDown);
+    }
+
+    void afterStepDown(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
+        if (group.asked_.contains(group.primary_) && !isTimeOver)
+            return;
+        if (group.asked_.contains(group.primary_))
+            return order(turn, id, group);
+        group.stoppedAt_ = group.positions_[group.primary_];
+        group.asked_ = { group.target_ };
+        turn.actions_.emplace_back(SurveyAction { group.target_, 0 });
+        enter(turn, group, PromotionPhase::CatchingUp);
+    }
+
+    void catchUp(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.catchUpTime_;
+        if (group.positions_[group.target_] >= group.stoppedAt_ || isTimeOver)
+            return order(turn, id, group);
+        if (group.asked_.empty()) {
+            group.asked_ = { group.target_ };
+            turn.actions_.emplace_back(SurveyAction { group.target_, 0 });
+        }
+    }
+
+    void afterOrder(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        if (!group.ordered_)
+            return;
+        switch (*group.ordered_) {
+        case OrderOutcome::Accepted:
+            return enter(turn, group, PromotionPhase::Settling);
+        case OrderOutcome::Unknown:
+            group.isOrderUnknown_ = true;
+            return enter(turn, group, PromotionPhase::Settling);
+        case OrderOutcome::Limited:
+            group.isOrderUnknown_ = true; // Waits before the next call, like an order without an answer.
+            return enter(turn, group, PromotionPhase::Settling);
+        case OrderOutcome::Refused:
+            group.refused_.insert(group.target_);
+            return beginSurvey(turn, id, group);
+        }
+    }
+
+    void settle(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        const auto* primary = primaryOf(turn.registry_, id);
+        if (primary && primary->id_ == group.target_) {
+            group.refused_.clear();
+            return enter(turn, group, PromotionPhase::Watching);
+        }
+        const auto waited = turn.now_ - group.phaseSince_;
+        if (group.isOrderUnknown_ && waited > turn.options_.reorderTime_) {
+            group.granted_.reset();
+            turn.actions_.emplace_back(GrantAction { id, group.target_ });
+            return enter(turn, group, PromotionPhase::Granting);
+        }
+        if (waited > turn.options_.settleTime_)
+            enter(turn, group, PromotionPhase::Watching);
+    }
+
+    void advance(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        switch (group.phase_) {
+        case PromotionPhase::Watching:
+            return watch(turn, id, group);
+        case PromotionPhase::Probing:
+            return probe(turn, id, group);
+        case PromotionPhase::Surveying:
+            return chooseTarget(turn, id, group);
+        case PromotionPhase::Granting:
+            return afterGrant(turn, id, group);
+        case PromotionPhase::SteppingDown:
+            return afterStepDown(turn, id, group);
+        case PromotionPhase::CatchingUp:
+            return catchUp(turn, id, group);
+        case PromotionPhase::Ordering:
+            return afterOrder(turn, id, group);
+        case PromotionPhase::Settling:
+            return settle(turn, id, group);
+        }
+    }
+
+} // namespace
+
+void beginDuty(PromotionDuty& duty)
+{
+    duty.groups_.clear();
+    duty.views_.clear();
+}
+
+void recordReports(PromotionDuty& duty, const InstanceId& instance, const std::vector<EndpointReport>& reports,
+    TimePoint now)
+{
+    for (const auto& report : reports)
+        duty.views_[report.endpoint_][instance] = { now, report.answeredAgo_, report.failingFor_ };
+}
+
+std::vector<PromotionAction> tickDuty(PromotionDuty& duty, const EndpointRegistry& registry,
+    const RouteCatalog& catalog, const PromotionOptions& options, TimePoint now)
+{
+    Turn turn { duty, registry, catalog, options, now, {} };
+    for (auto& [endpoint, views] : duty.views_)
+        std::erase_if(views, [&](const auto& view) { return now - view.second.reported_ > registryLifetime; });
+    std::erase_if(duty.views_, [](const auto& item) { return item.second.empty(); });
+    for (const auto& rules : catalog.groups_)
+        advance(turn, rules.group_, duty.groups_[rules.group_]);
+    return std::move(turn.actions_);
+}
+
+void handleResult(PromotionDuty& duty, const ProbeResult& result)
+{
+    for (auto& [id, group] : duty.groups_) {
+        if (group.phase_ != PromotionPhase::Probing || group.primary_ != result.endpoint_)
+            continue;
+        if (result.alive_)
+            group.phase_ = PromotionPhase::Watching;
+        else
+            ++group.failedProbes_;
+    }
+}
+
+void handleResult(PromotionDuty& duty, const SurveyResult& result)
+{
+    for (auto& [id, group] : duty.groups_) {
+        if (!group.asked_.contains(result.endpoint_))
+            continue;
+        group.highestTerm_ = std::max(group.highestTerm_, result.highestTerm_);
+        // Without an answer, an endpoint that was told to stop may not have stopped.
+        if (group.phase_ == PromotionPhase::SteppingDown && !result.received_)
+            continue;
+        group.asked_.erase(result.endpoint_);
+        if (result.received_)
+            group.positions_[result.endpoint_] = *result.received_;
+    }
+}
+
+void handleResult(PromotionDuty& duty, const GrantResult& result)
+{
+    const auto group = duty.groups_.find(result.group_);
+    if (group == duty.groups_.end() || group->second.phase_ != PromotionPhase::Granting)
+        return;
+    group->second.granted_ = result.fence_.has_value();
+    group->second.fence_ = result.fence_.value_or(0);
+}
+
+void handleResult(PromotionDuty& duty, const OrderResult& result)
+{
+    const auto group = duty.groups_.find(result.group_);
+    if (group != duty.groups_.end() && group->second.phase_ == PromotionPhase::Ordering)
+        group->second.ordered_ = result.outcome_;
+}
+
+std::string_view phaseName(PromotionPhase phase)
+{
+    switch (phase) {
+    case PromotionPhase::Watching:
+        return "watching";
+    case PromotionPhase::Probing:
+        return "probing";
+    case PromotionPhase::Surveying:
+        return "surveying";
+    case PromotionPhase::Granting:
+        return "granting";
+    case PromotionPhase::SteppingDown:
+        return "stepping_down";
+    case PromotionPhase::CatchingUp:
+        return "catching_up";
+    case PromotionPhase::Ordering:
+        return "ordering";
+    case PromotionPhase::Settling:
+        return "settling";
+    }
+    return "unknown";
+}
+
+std::string_view causeName(PromotionCause cause)
+{
+    switch (cause) {
+    case PromotionCause::Failed:
+        return "failed";
+    case PromotionCause::Leaving:
+        return "leaving";
+    case PromotionCause::Missing:
+        return "missing";
+    }
+    return "unknown";
+}
+
+} // namespace cassiahollow
