Recover faster from the loss of all machines, and send clients away from a cut-off data centre

Cause: after power_off_all no request was served for 2 s: members waited a full election time-out, dials to machines without power were repeated only after a second, endpoints were unknown until their next reports, spare connections of the dead instances filled the endpoints' limits, and clients were told that their database does not exist. In a zone cut the instances of the zone stayed in rotation although they reached neither control nor most primaries. Ruled out: a slow start of the processes (started 70 ms after the machines). Also: the probe of a suspected primary speaks the line protocol; databases do not understand HTTP on that port, so every probe had failed.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -56,13 +56,13 @@
     , peers_({ self_, incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
+    , store_(std::filesystem::path(settings_.dataFolder_) / "registry")
     , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
           registry_,
           [this](const GrantChange& grant) {
               const auto key = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
               submit(ControlChange { key, grant }, { .grant_ = grant.group_ });
           })
-    , started_(Clock::now())
 {
     loop_.setWakeHandler([this] { receiveAll(); });
 }
@@ -76,6 +76,8 @@
 boost::leaf::result<void> ControlHost::start()
 {
     BOOST_LEAF_CHECK(peers_.start());
+    for (auto& record : store_.load(Clock::now()))
+        mergeRecord(registry_, std::move(record));
     const auto listener = [this](std::string name, const std::string& address) {
         HttpHandlers handlers;
         handlers.request_ = [this](const HttpConnectionPtr& c, const HttpRequest& r) { handleCall(c, r); };
@@ -313,7 +315,6 @@
     bool changed = false;
     for (const auto& record : update.records_)
         changed |= mergeRecord(registry_, record) == RegistryMerge::Changed;
-    registryKnown_ |= !update.records_.empty();
     if (changed)
         registryChanged();
 }
@@ -478,6 +479,7 @@
 
 void ControlHost::registryChanged()
 {
+    store_.save(registry_, Clock::now());
     pushFeeds();
     duty_.tick();
 }
@@ -495,8 +497,7 @@
     if (document_ && document_->version_ > instance.catalogVersion_)
         answer.catalog_ = document_;
     answer.registryMark_ = registryMark();
-    // A member that has just started does not know all endpoints yet.
-    if (registryKnown_ && instance.registryMark_ != answer.registryMark_) {
+    if (instance.registryMark_ != answer.registryMark_) {
         answer.records_.emplace();
         for (const auto& [endpoint, record] : registry_.records_)
             answer.records_->push_back(record);
@@ -527,7 +528,6 @@
 {
     const auto now = Clock::now();
     expireRecords(registry_, now);
-    registryKnown_ |= now - started_ > 2 * settings_.heartbeat_;
     std::erase_if(calls_, [&](const auto& item) {
         if (item.second.grant_ || now < item.second.deadline_)
             return false;
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -7,6 +7,7 @@
 #include "process/EventLoop.h"
 #include "process/NodeSettings.h"
 #include "process/PeerTask.h"
+#include "process/RegistryStore.h"
 #include "version/ControlTask.h"
 #include "version/DutyRunner.h"
 
@@ -120,6 +121,7 @@
     Mailbox<Message> mailbox_;
     PeerTask peers_;
     EndpointRegistry registry_;
+    RegistryStore store_;
     std::unique_ptr<HttpListener> operators_;
     std::unique_ptr<HttpListener> metricsListener_;
     DutyRunner duty_;
@@ -131,8 +133,6 @@
     std::map<InstanceId, EntryInstance> instances_;
     std::map<InstanceId, Member> members_;
     TimePoint nextSpread_;
-    bool registryKnown_ { false }; ///< Another member has sent its records, or there was time for all endpoints to report.
-    TimePoint started_;
 };
 
 } // namespace cassiahollow
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -14,6 +14,8 @@
     constexpr std::size_t mailboxCapacity = 5000;
     // A change of the catalog is pushed; this is how long one takes whose push was lost.
     constexpr auto askInterval = 250ms;
+    // Without a catalog nothing can be served, so a new instance asks as often as a round trip allows.
+    constexpr auto firstAskInterval = 60ms;
     // Without answers to this many questions in a row, another member is asked.
     constexpr std::uint64_t unansweredLimit = 2;
     // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
@@ -23,6 +25,8 @@
     constexpr auto shutdownCheck = 50ms;
     // The platform notices after two questions; until then new sessions arrive and are served.
     constexpr auto shutdownLeast = 2500ms;
+    // The time in which the platform takes an instance out of rotation that is not ready.
+    constexpr auto rotationTime = 2s;
 
 } // namespace
 
@@ -54,8 +58,8 @@
             loop_, HttpListenerOptions { .name_ = std::move(name), .address_ = address }, std::move(handlers));
     };
     if (!settings_.readiness_.empty()) {
-        readiness_ = listener("readiness", settings_.readiness_);
-        BOOST_LEAF_CHECK(readiness_->start());
+        readinessListener_ = listener("readiness", settings_.readiness_);
+        BOOST_LEAF_CHECK(readinessListener_->start());
     }
     if (!settings_.metrics_.empty()) {
         metricsListener_ = listener("metrics", settings_.metrics_);
@@ -158,15 +162,39 @@
 void GatewayTask::handleCall(const HttpConnectionPtr& connection, const HttpRequest& request)
 {
     if (request.path_ == platform::readyPath)
-        return connection->reply({ isReady() ? 200 : 503, "{}" });
+        return connection->reply({ readiness() == Readiness::Ready ? 200 : 503, "{}" });
     if (request.path_ == "/metrics")
         return connection->reply({ 200, metrics_.render(), "text/plain" });
     connection->reply({ 404, "{}" });
 }
 
-bool GatewayTask::isReady() const
+Readiness GatewayTask::readiness() const
 {
-    return !shuttingDown_ && gateway_.hasCatalog() && gateway_.hasEndpoints();
+    ReadinessView view;
+    view.hasCatalog_ = gateway_.hasCatalog();
+    view.hasEndpoints_ = gateway_.hasEndpoints();
+    view.isStopping_ = shuttingDown_;
+    view.sinceConfirmed_ = suspendAwareNow() - confirmed_;
+    view.groups_ = gateway_.groups();
+    view.unreachableGroups_ = gateway_.unreachableGroups();
+    return readinessOf(view);
+}
+
+void GatewayTask::updateReadiness()
+{
+    const auto now = suspendAwareNow();
+    const auto readiness = this->readiness();
+    if (readiness != readiness_) {
+        LogLine(LogKind::Belief, "readiness")
+            .with("from", readinessName(readiness_))
+            .with("to", readinessName(readiness))
+            .with("since_confirmed", now - confirmed_)
+            .with("unreachable_groups", static_cast<std::uint64_t>(gateway_.unreachableGroups()));
+        readiness_ = readiness;
+        readinessSince_ = now;
+    }
+    const bool isolated = readiness == Readiness::Isolated;
+    gateway_.setIsolated(isolated, isolated && now - readinessSince_ > rotationTime);
 }
 
 void GatewayTask::chooseMember()
@@ -212,7 +240,9 @@
 void GatewayTask::ask()
 {
     askNow();
-    loop_.schedule(Clock::now() + askInterval, [this] { ask(); });
+    updateReadiness();
+    const bool isEmpty = !gateway_.hasCatalog() || !gateway_.hasEndpoints();
+    loop_.schedule(Clock::now() + (isEmpty ? firstAskInterval : askInterval), [this] { ask(); });
 }
 
 } // namespace cassiahollow
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -3,6 +3,7 @@
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Mailbox.h"
 #include "cassiahollow/process/Metrics.h"
+#include "cassiahollow/process/Readiness.h"
 #include "connection/HttpListener.h"
 #include "connection/LineChannel.h"
 #include "process/EventLoop.h"
@@ -48,7 +49,8 @@
     void ask();
     void askNow();
     void chooseMember();
-    bool isReady() const;
+    Readiness readiness() const;
+    void updateReadiness();
     void finishShutdown();
 
     NodeSettings settings_;
@@ -58,7 +60,7 @@
     PeerTask peers_;
     StatementGateway gateway_;
     LineListener clients_;
-    std::unique_ptr<HttpListener> readiness_;
+    std::unique_ptr<HttpListener> readinessListener_;
     std::unique_ptr<HttpListener> metricsListener_;
 
     std::vector<InstanceId> members_; ///< Control members, as last told.
@@ -71,6 +73,8 @@
     std::string registryMark_;
     bool hasBeenConfirmed_ { false };
     bool shuttingDown_ { false };
+    Readiness readiness_ { Readiness::Starting };
+    TimePoint readinessSince_;
     TimePoint shutdownEnd_;
 };
 
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -19,6 +19,8 @@
     // A primary that leaves goes on serving until there is another, but no longer than this: below the bound on new work
     // at a leaving endpoint, less the time in which its announcement spreads.
     constexpr auto leavingPrimaryTime = 4s;
+    // A connection beyond the first that rested for this long is closed.
+    constexpr auto spareLinkTime = 3s;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
     // Weights of priorities in the queues: each level counts twice the next.
@@ -72,6 +74,7 @@
     LogLine(LogKind::Belief, "catalog_applied")
         .with("version", catalog_->version_)
         .with("routes", static_cast<std::uint64_t>(catalog_->routes_.size()));
+    startHeld();
     for (const auto& rules : catalog_->groups_) {
         auto& group = groupOf(rules.group_);
         std::map<ClassId, AdmissionClass> classes;
@@ -103,6 +106,8 @@
     for (const auto& record : records)
         mergeRecord(registry_, record);
     for (const auto& [id, record] : registry_.records_) {
+        if (record.gone_ && !endpoints_.contains(id))
+            continue;
         auto& endpoint = endpoints_[id];
         if (!endpoint)
             endpoint = std::make_unique<Endpoint>();
@@ -309,6 +314,41 @@
         enqueueJob(job);
 }
 
+std::size_t StatementGateway::unreachableGroups() const
+{
+    if (!catalog_)
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(catalog_->groups_.begin(), catalog_->groups_.end(), [this](const GroupRules& rules) {
+            const auto group = groups_.find(rules.group_);
+            const auto* first = group == groups_.end() ? nullptr : primary(*group->second);
+            return !first || isFailing(first->load_);
+        }));
+}
+
+void StatementGateway::setIsolated(bool isolated, bool sendAway)
+{
+    isolated_ = isolated;
+    sendAway_ = sendAway;
+}
+
+// Connections beyond the first are for busy times. Those that rest are closed, so that instances that start, or are
+// busier, find room below the endpoint's limit.
+void StatementGateway::closeSpareLinks()
+{
+    const auto now = suspendAwareNow();
+    for (auto& [id, endpoint] : endpoints_) {
+        auto& links = endpoint->links_;
+        for (std::size_t i = links.size(); i > 1; --i) {
+            const auto link = links[i - 1];
+            if (!link->isReady() || link->taken_ || now - link->used_ < spareLinkTime)
+                continue;
+            link->close();
+            links.erase(links.begin() + static_cast<std::ptrdiff_t>(i - 1));
+        }
+    }
+}
+
 // Marks endpoints that owe an answer for too long, refuses reads that have waited for a sample in vain, and keeps
 // samples coming for them.
 void StatementGateway::watchSilence()
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -11,6 +11,7 @@
     LineChannelPtr channel_;
     SqlSession sql_;
     bool started_ { false };
+    std::optional<platform::ClientStart> heldStart_; ///< Arrived before this instance had a catalog.
     bool busy_ { false }; ///< A statement is under way; the next one waits in the channel.
     bool closed_ { false };
     bool wrote_ { false }; ///< The open transaction has sent a write.
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -51,6 +51,8 @@
     const auto now = suspendAwareNow();
     const auto* first = primary(group);
     const bool waitsForPrimary = !first || isFailing(first->load_);
+    if (isolated_ && job->needsPrimary_ && waitsForPrimary)
+        return refuseJob(job, Reason::GroupWithoutPrimary);
     const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
     if (!job->needsPrimary_) {
         const auto newest = newestSample(group.samples_);
@@ -58,6 +60,8 @@
             requestSample(group);
         job->floor_ = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
         if (!job->floor_) {
+            if (isolated_ && waitsForPrimary)
+                return refuseJob(job, Reason::NoEndpointForRead);
             group.awaitSample_.insert(job);
             job->item_.deadline_ = limits.latestStart_;
             return;
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -16,6 +16,8 @@
     // Resting sessions that are closed in one tick of a shutdown, so that they come back at other instances one after
     // the other and not all at once.
     constexpr std::size_t closedPerTick = 8;
+    // Spare connections are looked at once a second.
+    constexpr std::uint64_t spareLinkTicks = 20;
 
 } // namespace
 
@@ -82,7 +84,13 @@
 
 void StatementGateway::handle(const SessionPtr& session, const platform::ClientStart& start)
 {
-    if (session->started_ || !catalog_ || !findRoute(*catalog_, start.database_)) {
+    if (!catalog_ && !session->started_) {
+        // The session is not known to be wrong; it begins once the catalog has come.
+        session->heldStart_ = start;
+        session->busy_ = true;
+        return;
+    }
+    if (session->started_ || !findRoute(*catalog_, start.database_)) {
         metrics_.count(Reason::UnknownService);
         LogLine(LogKind::Refusal, "session_refused")
             .with("database", start.database_)
@@ -97,6 +105,19 @@
     session->channel_->send(platform::encodeReady(platform::SessionMark::Idle, {}));
 }
 
+void StatementGateway::startHeld()
+{
+    std::vector<SessionPtr> held;
+    std::copy_if(sessions_.begin(), sessions_.end(), std::back_inserter(held),
+        [](const SessionPtr& session) { return session->heldStart_.has_value(); });
+    for (const auto& session : held) {
+        session->busy_ = false;
+        handle(session, *std::exchange(session->heldStart_, std::nullopt));
+        if (!session->closed_)
+            session->channel_->offer();
+    }
+}
+
 void StatementGateway::handle(const SessionPtr& session, platform::ClientQuery query)
 {
     auto& sql = session->sql_;
@@ -301,7 +322,7 @@
 
 void StatementGateway::closeResting()
 {
-    const bool isLate = suspendAwareNow() > transactionsEnd_;
+    const bool isLate = shuttingDown_ && suspendAwareNow() > transactionsEnd_;
     std::vector<SessionPtr> resting;
     for (const auto& session : sessions_) {
         const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
@@ -317,9 +338,11 @@
 void StatementGateway::tick()
 {
     endIdleTransactions();
-    if (shuttingDown_)
+    if (shuttingDown_ || sendAway_)
         closeResting();
     watchSilence();
+    if (++ticks_ % spareLinkTicks == 0)
+        closeSpareLinks();
     loop_.schedule(Clock::now() + tickInterval, [this] { tick(); });
 }
 
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -54,6 +54,12 @@
     std::uint64_t catalogVersion() const { return catalog_ ? catalog_->version_ : 0; }
     bool hasEndpoints() const { return !registry_.records_.empty(); }
 
+    /// The groups of the catalog, and those whose primary does not answer this instance.
+    std::size_t groups() const { return catalog_ ? catalog_->groups_.size() : 0; }
+    std::size_t unreachableGroups() const;
+    /// An isolated instance refuses at once what it cannot serve, and lets resting sessions go when `sendAway`.
+    void setIsolated(bool isolated, bool sendAway);
+
     /// Sessions that rest are closed one after the other, the others when their operation ends. Transactions that are
     /// open after `transactionTime` are ended.
     void beginShutdown(std::chrono::milliseconds transactionTime);
@@ -71,6 +77,7 @@
     std::size_t receive(const SessionPtr&, std::string_view);
     void handle(const SessionPtr&, const platform::ClientStart&);
     void handle(const SessionPtr&, platform::ClientQuery);
+    void startHeld();
     void beginTransaction(const SessionPtr&, bool readOnly);
     void endTransaction(const SessionPtr&, const std::string& id, const Statement&);
     void runStatement(const SessionPtr&, std::string id, const Statement&);
@@ -120,6 +127,7 @@
     void requestSample(Group&);
     void sampled(Group&, const PositionSample&);
     void watchSilence();
+    void closeSpareLinks();
     void tick();
 
     EventLoop& loop_;
@@ -136,6 +144,9 @@
     RetryBudget retryBudget_;
     std::function<void()> suspicionHandler_;
     bool shuttingDown_ { false };
+    bool isolated_ { false };
+    bool sendAway_ { false };
+    std::uint64_t ticks_ { 0 };
     TimePoint transactionsEnd_;
 };
 
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -10,13 +10,40 @@
 
     using namespace std::chrono_literals;
 
-    // A machine that is alive answers a health question within a few round trips.
+    // A machine that is alive accepts a session within a few round trips and a place in its queue.
     constexpr auto probeTime = 350ms;
     // Connecting takes an endpoint 12 ms of a slot; a survey counts for PromotionOptions::surveyTime_.
     constexpr auto surveyTime = 400ms;
     // A promotion takes up to a second at the authority.
     constexpr auto orderTime = 1500ms;
 
+    // The start of a session at an endpoint, on a new connection, shows whether it works now.
+    struct Probe : boost::intrusive_ref_counter<Probe, boost::thread_unsafe_counter> {
+        LineChannelPtr channel_;
+        std::function<void(bool alive)> done_;
+
+        void finish(bool alive)
+        {
+            const boost::intrusive_ptr<Probe> keepAlive(this);
+            if (channel_)
+                channel_->close();
+            if (const auto done = std::exchange(done_, nullptr))
+                done(alive);
+        }
+
+        std::size_t receive(std::string_view bytes)
+        {
+            std::size_t taken = 0;
+            if (const auto line = platform::takeLine(bytes, taken)) {
+                const auto message = platform::decodeEndpointLine(*line);
+                const auto* error = std::get_if<platform::EndpointError>(&message);
+                // An endpoint that is full is alive; another one at the address is not the one that was meant.
+                finish(!error || error->error_ != StatementError::WrongEndpoint);
+            }
+            return taken;
+        }
+    };
+
     // One conversation with an endpoint: start, an optional order, and the status question.
     struct Survey : boost::intrusive_ref_counter<Survey, boost::thread_unsafe_counter> {
         LineChannelPtr channel_;
@@ -142,15 +169,14 @@
     const auto record = registry_.records_.find(action.endpoint_);
     if (record == registry_.records_.end())
         return;
-    HttpCallRequest request { .address_ = record->second.address_,
-        .path_ = std::string(platform::healthPath),
-        .wantedHeader_ = std::string(platform::endpointHeader) };
-    calls_.call(
-        std::move(request), probeTime, [this, reign = reign_, id = action.endpoint_](const HttpCallResult& result) {
-            // Another endpoint may have taken the address.
-            const bool isOther = !result.wantedHeader_.empty() && result.wantedHeader_ != id.value_;
-            finish(reign, ProbeResult { id, result.status_ != 0 && !isOther });
-        });
+    const boost::intrusive_ptr<Probe> probe(new Probe);
+    probe->done_ = [this, reign = reign_, id = action.endpoint_](bool alive) { finish(reign, ProbeResult { id, alive }); };
+    probe->channel_ = sockets_.open(record->second.address_, probeTime, probeTime,
+        { .opened_ = {},
+            .received_ = [probe](std::string_view bytes) { return probe->receive(bytes); },
+            .closed_ = [probe] { probe->finish(false); } });
+    probe->channel_->send(platform::encodeStart(record->second.group_, options_.holder_, action.endpoint_));
+    loop_.schedule(Clock::now() + probeTime, [probe] { probe->finish(false); });
 }
 
 void DutyRunner::carryOut(const SurveyAction& action)
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -34,7 +34,7 @@
 /// After a lost connection an endpoint gets no new statement for this long, unless there is no other.
 inline constexpr Duration failurePause = std::chrono::milliseconds(250);
 /// After a refusal for too many connections no other is opened for this long.
-inline constexpr Duration fullPause = std::chrono::milliseconds(1500);
+inline constexpr Duration fullPause = std::chrono::milliseconds(300);
 /// An exchange without an answer for this long counts as a failure of the endpoint.
 inline constexpr Duration silenceLimit = std::chrono::milliseconds(300);
 
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -222,7 +222,8 @@
 };
 
 struct ControlLogOptions {
-    /// An election starts after a silence between this and twice this. A leader that has not heard from a majority for
+    /// An election starts after a silence between this and twice this; after a start, before any leader is known, between
+    /// a quarter of this and this, because all members may have started together. A leader that has not heard from a majority for
     /// this long steps down.
     Duration electionTimeout_ { std::chrono::milliseconds(500) };
     /// Three heartbeats fit into an election timeout, so that one lost message starts no election. With seven members,
@@ -306,6 +307,7 @@
     bool hasHeardLeader_ { false };
     TimePoint electionDeadline_;
     TimePoint nextHello_;
+    bool hasKnownLeader_ { false }; ///< A leader was known since the start.
     std::set<std::string> votes_;
     std::map<InstanceId, SeenHello> hellos_;
 
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -114,9 +114,11 @@
 
     void resetElection(Step& step)
     {
-        const auto timeout = step.state_.options_.electionTimeout_;
-        std::uniform_int_distribution<Duration::rep> extra(0, timeout.count());
-        step.state_.electionDeadline_ = step.now_ + timeout + Duration(extra(step.state_.random_));
+        auto& state = step.state_;
+        const auto timeout = state.options_.electionTimeout_;
+        const auto shortest = state.hasKnownLeader_ ? timeout : timeout / 4;
+        std::uniform_int_distribution<Duration::rep> extra(0, state.hasKnownLeader_ ? timeout.count() : (timeout - shortest).count());
+        state.electionDeadline_ = step.now_ + shortest + Duration(extra(state.random_));
     }
 
     void refreshConfiguration(Step& step)
@@ -429,6 +431,7 @@
     {
         auto& state = step.state_;
         state.role_ = ControlRole::Leader;
+        state.hasKnownLeader_ = true;
         state.leader_ = ControlMember { state.instance_, state.identity_, true };
         state.progress_.clear();
         refreshConfiguration(step);
@@ -850,6 +853,7 @@
         state.leader_ = ControlMember { message.sender_, message.senderIdentity_, true };
         state.leaderHeard_ = step.now_;
         state.hasHeardLeader_ = true;
+        state.hasKnownLeader_ = true;
         resetElection(step);
         return true;
     }
