Wait for the primary at once when no replica has caught up, and keep queues at endpoints short

Cause: with replicas 2 s behind for long, reads bounced between them and were refused, or met in the primary's own queue. Statements now keep a window in flight per endpoint, wait here by weight, and are refused when they cannot start in time.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -23,8 +23,6 @@
     constexpr auto spareLinkTime = 3s;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
-    // Weights of priorities in the queues: each level counts twice the next.
-    constexpr double topWeight = 8;
 
 } // namespace
 
@@ -80,7 +78,7 @@
         std::map<ClassId, AdmissionClass> classes;
         for (const auto& route : catalog_->routes_) {
             if (route.group_ == rules.group_)
-                classes[ClassId(route.name_)].weight_ = topWeight / static_cast<double>(1 << std::clamp(route.priority_, 0, 6));
+                classes[ClassId(route.name_)].weight_ = queueWeight(route);
         }
         for (auto* queue : { &group.primaryQueue_, &group.readQueue_ }) {
             auto settings = queue->settings_;
@@ -203,7 +201,10 @@
 {
     auto* first = primary(group);
     const bool wantsPrimary = group.primaryQueue_.waiting_ > 0 || (!group.awaitSample_.empty() && !group.sampling_);
-    if (first && wantsPrimary && first->idleLinks() == 0)
+    const auto wantsLink = [](const Endpoint& endpoint) {
+        return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < static_cast<std::size_t>(endpoint.load_.window_);
+    };
+    if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
     const bool wantsReads = group.readQueue_.waiting_ > 0;
     for (auto& [id, endpoint] : endpoints_) {
@@ -211,7 +212,7 @@
             continue;
         // Each endpoint gets its first connection early, so that reads find a choice.
         const bool isFirst = endpoint->links_.empty();
-        if (isFirst || (wantsReads && endpoint->idleLinks() == 0 && endpoint.get() != first))
+        if (isFirst || (wantsReads && wantsLink(*endpoint) && endpoint.get() != first))
             openLink(*endpoint);
     }
 }
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -32,6 +32,7 @@
     StatementKind kind_ { StatementKind::Read }; ///< Read, Write or Commit.
     bool opensTransaction_ { false };
     bool needsPrimary_ { false };
+    bool atPrimary_ { false }; ///< It waits for the primary, by need or because no replica has caught up.
     std::optional<PreparedShape> shape_;
     std::shared_ptr<const RouteCatalog> catalog_;
     const Route* route_ { nullptr };
@@ -64,6 +65,7 @@
         return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
             [](const EndpointLinkPtr& link) { return link->isReady() && !link->taken_; }));
     }
+    std::size_t room() const { return roomAt(load_, idleLinks()); }
     bool isOpening() const
     {
         return std::any_of(links_.begin(), links_.end(),
@@ -74,13 +76,13 @@
 struct StatementGateway::Group {
     explicit Group(GroupId id)
         : id_(std::move(id))
-        , primaryQueue_({ .slots_ = unlimitedSlots, .initialServiceTime_ = std::chrono::milliseconds(10) })
-        , readQueue_({ .slots_ = unlimitedSlots, .initialServiceTime_ = std::chrono::milliseconds(10) })
+        , primaryQueue_({ .slots_ = 1, .initialServiceTime_ = firstServiceTime })
+        , readQueue_({ .slots_ = 1, .initialServiceTime_ = firstServiceTime })
     {
     }
 
-    /// Connections limit the statements in flight, not slots.
-    static constexpr std::size_t unlimitedSlots = 1000;
+    /// Assumed until a statement has finished.
+    static constexpr std::chrono::milliseconds firstServiceTime { 10 };
 
     GroupId id_;
     AdmissionQueue primaryQueue_; ///< Statements that only the primary may run.
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -14,6 +14,8 @@
     constexpr int maximumAttempts = 4;
     // Reads keep the newest sample this young, so that each has an old enough floor to choose from.
     constexpr auto sampleInterval = 250ms;
+    // A session reads its own commit this long after it at the earliest: a round trip and a pause.
+    constexpr auto ownCommitAge = 10ms;
 
     AdmissionQueue& queueOf(AdmissionQueue& primary, AdmissionQueue& reads, bool needsPrimary)
     {
@@ -73,7 +75,13 @@
     job->item_.class_ = ClassId(job->route_->name_);
     job->item_.service_ = ServiceId(job->route_->database_);
     job->item_.deadline_ = limits.latestStart_;
-    job->queue_ = &queueOf(group.primaryQueue_, group.readQueue_, job->needsPrimary_);
+    bool goesToPrimary = job->needsPrimary_;
+    if (!goesToPrimary) {
+        std::vector<Endpoint*> choices;
+        goesToPrimary = first && !hasCaughtUpReplica(candidatesFor(group, *job, choices), floorAgeOf(*job, now), now);
+    }
+    job->atPrimary_ = goesToPrimary;
+    job->queue_ = &queueOf(group.primaryQueue_, group.readQueue_, goesToPrimary);
     job->item_.id_ = reinterpret_cast<std::uint64_t>(job.get());
     if (const auto reason = enqueue(*job->queue_, job->item_, now))
         return refuseJob(job, *reason);
@@ -83,19 +91,32 @@
 std::size_t StatementGateway::freeAtPrimary(const Group& group) const
 {
     const auto* endpoint = primary(group);
-    return endpoint ? endpoint->idleLinks() : 0;
+    return endpoint ? endpoint->room() : 0;
 }
 
 std::size_t StatementGateway::freeForReads(const Group& group) const
 {
     std::size_t free = 0;
     for (const auto& [id, endpoint] : endpoints_) {
-        if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint))
-            free += endpoint->idleLinks();
+        if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint) && !isFailing(endpoint->load_))
+            free += endpoint->room();
     }
     return free;
 }
 
+// The queues expect as many statements in flight as the windows allow, and refuse at once what cannot start in time.
+void StatementGateway::resizeQueues(Group& group)
+{
+    const auto* first = primary(group);
+    std::size_t reads = 0;
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint))
+            reads += static_cast<std::size_t>(endpoint->load_.window_);
+    }
+    group.primaryQueue_.settings_.slots_ = std::max<std::size_t>(1, first ? static_cast<std::size_t>(first->load_.window_) : 1);
+    group.readQueue_.settings_.slots_ = std::max<std::size_t>(1, reads);
+}
+
 void StatementGateway::dispatch(Group& group)
 {
     if (std::exchange(group.dispatching_, true)) {
@@ -105,6 +126,7 @@
     do {
         group.dispatchAgain_ = false;
         const auto now = suspendAwareNow();
+        resizeQueues(group);
         const auto serve = [&](AdmissionQueue& queue, std::size_t free) {
             const auto decision = next(queue, now, free);
             for (const auto& refused : decision.refuse_)
@@ -143,24 +165,37 @@
 
 StatementGateway::Endpoint* StatementGateway::placeJob(Group& group, const JobPtr& job)
 {
-    if (job->needsPrimary_) {
+    if (job->atPrimary_) {
         auto* endpoint = primary(group);
-        return endpoint && endpoint->idleLinks() > 0 ? endpoint : nullptr;
+        return endpoint && endpoint->room() > 0 ? endpoint : nullptr;
     }
+    std::vector<Endpoint*> choices;
+    auto candidates = candidatesFor(group, *job, choices);
+    std::erase_if(candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
     const auto now = suspendAwareNow();
+    const auto chosen = placeRead(candidates, floorAgeOf(*job, now), now);
+    return chosen ? choices[*chosen] : nullptr;
+}
+
+std::vector<PlacementCandidate> StatementGateway::candidatesFor(
+    const Group& group, const Job& job, std::vector<Endpoint*>& choices)
+{
     const auto* first = primary(group);
     std::vector<PlacementCandidate> candidates;
-    std::vector<Endpoint*> choices;
     for (auto& [id, endpoint] : endpoints_) {
-        if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint) || endpoint->idleLinks() == 0)
+        if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint) || isFailing(endpoint->load_))
             continue;
         candidates.push_back({ choices.size(), &endpoint->load_, endpoint->record_.slots_, endpoint.get() == first,
-            endpoint->record_.dataCentre_ == options_.dataCentre_, job->tried_.contains(id) });
+            endpoint->record_.dataCentre_ == options_.dataCentre_, job.tried_.contains(id) });
         choices.push_back(endpoint.get());
     }
-    const auto floorAge = job->floorPosition_ == job->floor_->position_ ? now - job->floor_->asked_ : Duration::zero();
-    const auto chosen = placeRead(candidates, floorAge, now);
-    return chosen ? choices[*chosen] : nullptr;
+    return candidates;
+}
+
+// A session's own commit is newer than the sample, so its age says nothing about the floor.
+Duration StatementGateway::floorAgeOf(const Job& job, TimePoint now)
+{
+    return job.floorPosition_ == job.floor_->position_ ? now - job.floor_->asked_ : ownCommitAge;
 }
 
 void StatementGateway::start(Group&, const JobPtr& job, Endpoint& endpoint)
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -21,6 +21,7 @@
     TimePoint failingSince_; ///< The first failure after the last answer, or the epoch.
     TimePoint avoidUntil_; ///< It shed or failed just now.
     TimePoint fullUntil_; ///< It refused a connection because of its limit.
+    double window_ { 2 }; ///< Statements that this instance keeps in flight at most.
     Duration lag_ { 0 }; ///< A replica was that far behind.
     TimePoint lagLearned_;
 };
@@ -52,6 +53,16 @@
 Duration expectedLag(const EndpointLoad&, TimePoint now);
 double expectedResponse(const EndpointLoad&, TimePoint now);
 
+/// The window grows while answers take less than this, and shrinks above it: a few statements wait at the endpoint, so
+/// that its slots are used, and the others wait here, where the most urgent goes first.
+inline constexpr double windowResponseSeconds = 0.09;
+inline constexpr double smallestWindow = 1;
+inline constexpr double largestWindow = 16;
+
+/// How many more statements may be sent to an endpoint with this many idle connections. Answers the load pattern "many
+/// instances meet at the few slots of one endpoint": a queue there serves whoever came first, and sheds.
+std::size_t roomAt(const EndpointLoad&, std::size_t idleConnections);
+
 /// An endpoint that could run a read.
 struct PlacementCandidate {
     std::size_t index_ { 0 }; ///< For the caller.
@@ -71,19 +82,30 @@
 /// are expected to have caught up; a replica that is behind only when there is no other. Empty: no candidates.
 std::optional<std::size_t> placeRead(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
 
+/// Whether one of the candidates, other than the primary, is expected to have caught up. When none has, a read waits for
+/// the primary at once: a replica that is behind costs a round trip and a retry.
+bool hasCaughtUpReplica(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
+
 /// How long a statement may wait at this instance for its start.
 struct WaitLimits {
     TimePoint latestStart_; ///< Refused as not run when it has not started by then.
 };
 
-/// Time that an answer needs at least after its start, as a part of the objective.
-inline constexpr double serviceShare = 0.25;
+/// The part of the objective that an answer may need after its start: the wait for a slot at the endpoint, the run, and
+/// the way back.
+inline constexpr double serviceShare = 0.55;
+/// The part of the time limit for which a statement waits for a change of primary.
+inline constexpr double promotionShare = 0.4;
 
 /// A statement that can be served waits until an answer within the objective is no longer to be expected: a later start
 /// takes a slot from one that is still on time. While the group has no primary, statements that need one wait for the
-/// change of primary instead, up to half of their time limit, because a retry could not be served earlier.
+/// change of primary instead, up to promotionShare of their time limit, because a retry could not be served earlier.
 WaitLimits waitLimits(const Route&, TimePoint arrived, bool waitsForPrimary);
 
+/// The weight of a route's statements in the queues of an overloaded endpoint. Each level of priority counts half of the
+/// one above it. Among equals, a route with a short objective has short statements: serving it first serves more.
+double queueWeight(const Route&);
+
 /// When a client whose statement was refused should come back: after the time in which the statements before it are
 /// worked off, and not before the group has a primary again.
 std::chrono::milliseconds comeBackAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary);
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -29,6 +29,8 @@
     load.responseSeconds_ = expectedResponse(load, now) * (1 - responseSmoothing) + seconds * responseSmoothing;
     load.answered_ = now;
     load.failingSince_ = {};
+    const double change = seconds < windowResponseSeconds ? 1 / load.window_ : -load.window_ / 16;
+    load.window_ = std::clamp(load.window_ + change, smallestWindow, largestWindow);
 }
 
 void recordBehind(EndpointLoad& load, Duration floorAge, TimePoint now)
@@ -46,6 +48,7 @@
 void recordShed(EndpointLoad& load, TimePoint now)
 {
     load.avoidUntil_ = std::max(load.avoidUntil_, now + shedPause);
+    load.window_ = std::max(smallestWindow, load.window_ / 2);
 }
 
 void recordFailure(EndpointLoad& load, TimePoint now)
@@ -79,6 +82,19 @@
     return load.responseSeconds_ * weight + usualResponseSeconds * (1 - weight);
 }
 
+std::size_t roomAt(const EndpointLoad& load, std::size_t idleConnections)
+{
+    const auto window = static_cast<std::size_t>(load.window_);
+    return window > load.inFlight_ ? std::min(idleConnections, window - load.inFlight_) : 0;
+}
+
+bool hasCaughtUpReplica(const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
+{
+    return std::any_of(candidates.begin(), candidates.end(), [&](const PlacementCandidate& candidate) {
+        return !candidate.isPrimary_ && !candidate.wasTried_ && expectedLag(*candidate.load_, now) <= floorAge;
+    });
+}
+
 std::optional<std::size_t> placeRead(
     const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
 {
@@ -106,10 +122,16 @@
 WaitLimits waitLimits(const Route& route, TimePoint arrived, bool waitsForPrimary)
 {
     const auto onTime = std::chrono::duration_cast<Duration>(route.objective_ * (1 - serviceShare));
-    const auto withoutPrimary = std::chrono::duration_cast<Duration>(route.statementTimeout_) / 2;
+    const auto withoutPrimary = std::chrono::duration_cast<Duration>(route.statementTimeout_ * promotionShare);
     return { arrived + (waitsForPrimary ? std::max(onTime, withoutPrimary) : onTime) };
 }
 
+double queueWeight(const Route& route)
+{
+    const double perSecond = 1 / std::max(0.01, std::chrono::duration<double>(route.objective_).count());
+    return std::exp2(-std::clamp(route.priority_, 0, 6)) * perSecond * perSecond;
+}
+
 std::chrono::milliseconds comeBackAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary)
 {
     const double seconds = static_cast<double>(waiting) * responseSeconds + (waitsForPrimary ? promotionSeconds : 0);
