Close spare connections to endpoints after 0.8 s

Cause: after a loss of power, an endpoint counts the connections of the dead machines for 3 s; those of instances that come back exceed its limit. With fewer spare ones open, more instances find room at once.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -20,7 +20,7 @@
     // at a leaving endpoint, less the time in which its announcement spreads.
     constexpr auto leavingPrimaryTime = 4s;
     // A connection beyond the first that rested for this long is closed.
-    constexpr auto spareLinkTime = 3s;
+    constexpr auto spareLinkTime = 800ms;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
 
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -16,8 +16,8 @@
     // Resting sessions that are closed in one tick of a shutdown, so that they come back at other instances one after
     // the other and not all at once.
     constexpr std::size_t closedPerTick = 8;
-    // Spare connections are looked at once a second.
-    constexpr std::uint64_t spareLinkTicks = 20;
+    // Spare connections are looked at four times a second.
+    constexpr std::uint64_t spareLinkTicks = 5;
 
 } // namespace
 
