--- a/daemon/connection/EndpointLink.cpp
+++ b/daemon/connection/EndpointLink.cpp
@@ -1,5 +1,7 @@
 #include "connection/EndpointLink.h"
 
+#include "process/SuspendAwareClock.h"
+
 namespace cassiahollow {
 
 EndpointLink::EndpointLink(LineSockets& sockets, Target target, std::chrono::milliseconds connectTime,
@@ -21,6 +23,7 @@
         return;
     }
     waiting_.push_back(std::move(done));
+    used_ = suspendAwareNow();
     channel_->send(line);
 }
 
--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -117,6 +117,7 @@
     const auto received = handlers_.received_; // The handler may close the channel and drop its handlers.
     if (!received)
         return 0;
+    offering_ = true;
     if (incoming_.empty()) {
         const auto taken = received(bytes);
         if (!abandoned_)
@@ -126,17 +127,16 @@
         const auto taken = received(incoming_);
         incoming_.erase(0, taken);
     }
+    offering_ = false;
     return abandoned_ ? -1 : 0;
 }
 
 void LineChannel::offer()
 {
-    if (abandoned_ || ended_ || incoming_.empty() || !handlers_.received_)
+    if (offering_ || abandoned_ || ended_ || incoming_.empty())
         return;
     const LineChannelPtr keepAlive(this);
-    const auto received = handlers_.received_;
-    const auto taken = received(incoming_);
-    incoming_.erase(0, taken);
+    receive({});
 }
 
 int LineChannel::write()
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -36,7 +36,7 @@
     /// Closes once all queued bytes are sent.
     void closeWhenSent();
 
-    /// Offers again what the owner has not taken.
+    /// Offers again what the owner has not taken. Has no effect within received_, which goes on by itself.
     void offer();
 
     bool isOpen() const { return open_; }
@@ -58,6 +58,7 @@
     bool ended_ { false };
     bool abandoned_ { false };
     bool closing_ { false };
+    bool offering_ { false }; ///< The owner is looking at bytes now.
     std::string incoming_; ///< Bytes that the owner has not taken yet.
     std::string outgoing_;
     std::chrono::milliseconds silence_ { 0 };
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -21,6 +21,8 @@
     constexpr auto leavingPrimaryTime = 4s;
     // A connection beyond the first that rested for this long is closed.
     constexpr auto spareLinkTime = 800ms;
+    // An answer that takes longer than any time limit of a statement does not come any more.
+    constexpr auto answerLimit = 4s;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
 
@@ -340,6 +342,11 @@
     const auto now = suspendAwareNow();
     for (auto& [id, endpoint] : endpoints_) {
         auto& links = endpoint->links_;
+        for (const auto& link : std::vector<EndpointLinkPtr>(links)) {
+            if (link->taken_ && !link->isQuiet() && now - link->used_ > answerLimit)
+                link->close();
+        }
+        std::erase_if(links, [](const EndpointLinkPtr& link) { return link->isClosed(); });
         for (std::size_t i = links.size(); i > 1; --i) {
             const auto link = links[i - 1];
             if (!link->isReady() || link->taken_ || now - link->used_ < spareLinkTime)
@@ -369,6 +376,7 @@
         }
         for (const auto& job : late)
             refuseJob(job, Reason::NoEndpointForRead);
+        hedgeLate(*group);
         if (!group->awaitSample_.empty())
             requestSample(*group);
     }
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -41,6 +41,8 @@
     TimePoint ageFrom_; ///< Arrival of the operation: ages of reads count back from it.
     TimePoint sent_;
     int attempts_ { 0 };
+    int outstanding_ { 0 }; ///< Attempts that have not been answered; two when a read was also sent elsewhere.
+    bool hedged_ { false };
     std::set<EndpointId> tried_;
     std::optional<PositionSample> floor_; ///< Of the current attempt.
     LogPosition floorPosition_;
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -40,6 +40,7 @@
     if (session->link_->isClosed() || !endpoint)
         return lost(job);
     ++endpoint->load_.inFlight_;
+    ++job->outstanding_;
     job->sent_ = suspendAwareNow();
     sendFit(job->link_, session->sql_, job->shape_);
     session->wrote_ |= job->kind_ == StatementKind::Write;
@@ -129,10 +130,18 @@
         resizeQueues(group);
         const auto serve = [&](AdmissionQueue& queue, std::size_t free) {
             const auto decision = next(queue, now, free);
-            for (const auto& refused : decision.refuse_)
-                refuseJob(JobPtr(reinterpret_cast<Job*>(refused.item_->id_)), refused.reason_);
-            for (auto* item : decision.start_) {
-                const JobPtr job(reinterpret_cast<Job*>(item->id_));
+            // Starting one statement may end another, so all are held.
+            std::vector<std::pair<JobPtr, Reason>> refused;
+            for (const auto& item : decision.refuse_)
+                refused.emplace_back(reinterpret_cast<Job*>(item.item_->id_), item.reason_);
+            std::vector<JobPtr> started;
+            for (const auto* item : decision.start_)
+                started.emplace_back(reinterpret_cast<Job*>(item->id_));
+            for (const auto& [job, reason] : refused)
+                refuseJob(job, reason);
+            for (const auto& job : started) {
+                if (job->isDone_)
+                    continue;
                 if (auto* endpoint = placeJob(group, job)) {
                     start(group, job, *endpoint);
                 } else {
@@ -204,6 +213,7 @@
     link->taken_ = true;
     job->link_ = link;
     ++job->attempts_;
+    ++job->outstanding_;
     ++endpoint.load_.inFlight_;
     const auto now = suspendAwareNow();
     job->sent_ = now;
@@ -282,8 +292,9 @@
 {
     if (auto* endpoint = find(link->endpoint()); endpoint && endpoint->load_.inFlight_ > 0)
         --endpoint->load_.inFlight_;
+    --job->outstanding_;
     if (reply)
-        learn(job, *reply);
+        learn(job, link, *reply);
     const auto& session = job->session_;
     auto& sql = session->sql_;
     const bool ownsTransaction = session->link_ == link;
@@ -295,6 +306,12 @@
         return jobDone(job);
     }
     const bool failed = !reply || reply->error_ || job->beginRefused_;
+    // The other attempt may still be answered.
+    if (failed && job->outstanding_ > 0) {
+        if (!provedLead)
+            freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle);
+        return;
+    }
     if (failed && !ownsTransaction) {
         if (!provedLead && reply && reply->mark_ != platform::SessionMark::Idle) {
             link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* ended) {
@@ -349,9 +366,9 @@
     session->channel_->offer();
 }
 
-void StatementGateway::learn(const JobPtr& job, const EndpointReply& reply)
+void StatementGateway::learn(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply& reply)
 {
-    auto* endpoint = find(job->link_->endpoint());
+    auto* endpoint = find(link->endpoint());
     if (!endpoint)
         return;
     const auto now = suspendAwareNow();
@@ -422,6 +439,41 @@
     return true;
 }
 
+// Sends reads whose answer is late elsewhere as well.
+void StatementGateway::hedgeLate(Group& group)
+{
+    const auto now = suspendAwareNow();
+    std::vector<JobPtr> late;
+    for (const auto& job : group.jobs_) {
+        const bool isSingleRead = job->kind_ == StatementKind::Read && !job->opensTransaction_
+            && job->session_->sql_.transaction_ == TransactionState::None;
+        if (!isSingleRead || job->hedged_ || !job->link_ || job->outstanding_ != 1)
+            continue;
+        const auto* endpoint = find(job->link_->endpoint());
+        if (endpoint && now - job->sent_ > hedgeDelay(endpoint->load_, *job->route_, now))
+            late.push_back(job);
+    }
+    for (const auto& job : late)
+        hedge(group, job);
+}
+
+void StatementGateway::hedge(Group& group, const JobPtr& job)
+{
+    const auto now = suspendAwareNow();
+    job->tried_.insert(job->link_->endpoint());
+    auto* endpoint = placeJob(group, job);
+    if (!endpoint || !takeRetry(retryBudget_, now))
+        return;
+    job->hedged_ = true;
+    metrics_.count(Reason::RetryAnswerLate);
+    LogLine(LogKind::Retry, reasonInfo(Reason::RetryAnswerLate).name_)
+        .with("request", job->id_)
+        .with("from", job->link_->endpoint().value_)
+        .with("to", endpoint->record_.id_.value_)
+        .with("sent_ago", now - job->sent_);
+    start(group, job, *endpoint);
+}
+
 // The connection of the statement ended before its answer.
 void StatementGateway::lost(const JobPtr& job)
 {
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -3,8 +3,6 @@
 #include "process/EventLog.h"
 #include "request/GatewayState.h"
 
-#include <ctime>
-
 // The sessions of the gateway: what clients send, and what is answered without an endpoint.
 namespace cassiahollow {
 
@@ -21,14 +19,6 @@
 
 } // namespace
 
-TimePoint suspendAwareNow()
-{
-    timespec time {};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::duration_cast<Duration>(
-        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
-}
-
 StatementGateway::StatementGateway(EventLoop& loop, Metrics& metrics, Options options)
     : loop_(loop)
     , metrics_(metrics)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -10,6 +10,7 @@
 #include "connection/EndpointLink.h"
 #include "connection/LineChannel.h"
 #include "process/EventLoop.h"
+#include "process/SuspendAwareClock.h"
 
 #include <map>
 #include <memory>
@@ -19,9 +20,6 @@
 
 namespace cassiahollow {
 
-/// The time of decisions about ages. It goes on while the machine is suspended, which the steady clock does not.
-TimePoint suspendAwareNow();
-
 /// Serves the sessions of clients: keeps their state, and runs their statements on connections to endpoints that they
 /// share. Lives on the loop's thread.
 class StatementGateway {
@@ -108,10 +106,12 @@
     void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
     void finishedFirst(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
     bool retry(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
+    void hedgeLate(Group&);
+    void hedge(Group&, const JobPtr&);
     void lost(const JobPtr&);
     void timedOut(const JobPtr&);
     void jobDone(const JobPtr&);
-    void learn(const JobPtr&, const EndpointReply&);
+    void learn(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
     void freeLink(const EndpointLinkPtr&, bool isClean);
     void sendFit(const EndpointLinkPtr&, const SqlSession&, const std::optional<PreparedShape>&);
 
--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -45,6 +45,7 @@
     RetryReplicaBehind,
     RetryConnectionRefused,
     RetryBudgetSpent,
+    RetryAnswerLate,
     // Operators.
     CredentialInvalid,
     SettingsRevisionConflict,
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -86,6 +86,16 @@
 /// the primary at once: a replica that is behind costs a round trip and a retry.
 bool hasCaughtUpReplica(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
 
+/// How long a read waits for its answer before it is also sent elsewhere. Answers the load patterns "answers of an
+/// endpoint are lost", "an endpoint has gone dark" and "a connection has gone silent": well above the usual time, so that
+/// few reads run twice, and within the objective where it can be.
+Duration hedgeDelay(const EndpointLoad&, const Route&, TimePoint now);
+
+/// The part of the objective after which an answer is waited for alone no longer, at the earliest.
+inline constexpr double hedgeShare = 0.4;
+/// Times the expected response, at the least.
+inline constexpr double hedgeResponses = 4;
+
 /// How long a statement may wait at this instance for its start.
 struct WaitLimits {
     TimePoint latestStart_; ///< Refused as not run when it has not started by then.
--- a/src/process/Reasons.cpp
+++ b/src/process/Reasons.cpp
@@ -52,6 +52,8 @@
         { Reason::RetryConnectionRefused, "retry_connection_refused", Outcome::NotRun,
             "none needed; the request is tried again" },
         { Reason::RetryBudgetSpent, "retry_budget_spent", Outcome::Unknown, "resend with the same key later" },
+        { Reason::RetryAnswerLate, "retry_answer_late", Outcome::NotRun,
+            "none needed; the read was also sent to another endpoint" },
         { Reason::CredentialInvalid, "credential_invalid", Outcome::NotRun,
             "send the operator credential of the process settings" },
         { Reason::SettingsRevisionConflict, "settings_revision_conflict", Outcome::NotRun,
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -119,6 +119,13 @@
     return best ? std::optional(best->index_) : std::nullopt;
 }
 
+Duration hedgeDelay(const EndpointLoad& load, const Route& route, TimePoint now)
+{
+    const double objective = std::chrono::duration<double>(route.objective_).count();
+    const double seconds = std::max(objective * hedgeShare, expectedResponse(load, now) * hedgeResponses);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 WaitLimits waitLimits(const Route& route, TimePoint arrived, bool waitsForPrimary)
 {
     const auto onTime = std::chrono::duration_cast<Duration>(route.objective_ * (1 - serviceShare));
