--- a/daemon/connection/EndpointLink.h
+++ b/daemon/connection/EndpointLink.h
@@ -39,7 +39,8 @@
         std::function<void()> closed_; ///< The connection has ended by itself.
     };
 
-    EndpointLink(LineSockets&, Target, std::chrono::milliseconds connectTime, std::chrono::milliseconds silence, Handlers);
+    EndpointLink(
+        LineSockets&, Target, std::chrono::milliseconds connectTime, std::chrono::milliseconds silence, Handlers);
     ~EndpointLink() { close(); }
     EndpointLink(const EndpointLink&) = delete;
     EndpointLink& operator=(const EndpointLink&) = delete;
--- a/daemon/connection/HttpCall.cpp
+++ b/daemon/connection/HttpCall.cpp
@@ -32,7 +32,8 @@
         unsigned char* end = *position + length;
         const auto add = [&](const std::string& name, const std::string& value) {
             return lws_add_http_header_by_name(wsi_, reinterpret_cast<const unsigned char*>(name.c_str()),
-                       reinterpret_cast<const unsigned char*>(value.data()), static_cast<int>(value.size()), position, end)
+                       reinterpret_cast<const unsigned char*>(value.data()), static_cast<int>(value.size()), position,
+                       end)
                 != 0;
         };
         for (const auto& [name, value] : request_.headers_) {
--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -53,14 +53,15 @@
     , incarnation_(incarnation)
     , self_(settings_.peers_)
     , mailbox_(mailboxCapacity, [this] { loop_.wake(); })
-    , peers_({ self_, incarnation, settings_.peers_, settings_.deploymentKey_ },
+    , peers_(
+          { self_, incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
     , store_(std::filesystem::path(settings_.dataFolder_) / "registry")
     , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
-          registry_,
-          [this](const GrantChange& grant) {
-              const auto key = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
+          registry_, [this](const GrantChange& grant) {
+              const auto key
+                  = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
               submit(ControlChange { key, grant }, { .grant_ = grant.group_ });
           })
 {
@@ -126,10 +127,13 @@
     };
     callbacks.settingsApplied_ = [](const auto&) {};
     callbacks.groupApplied_ = [](const auto&, const auto&) {};
-    callbacks.catalogApplied_
-        = [this](std::shared_ptr<const CatalogDocument> catalog) { mailbox_.post(CatalogApplied { std::move(catalog) }); };
-    callbacks.answered_ = [this](std::uint64_t token, const ChangeOutcome& outcome,
-                              const std::shared_ptr<const SettingsTree>&) { mailbox_.post(Answered { token, outcome }); };
+    callbacks.catalogApplied_ = [this](std::shared_ptr<const CatalogDocument> catalog) {
+        mailbox_.post(CatalogApplied { std::move(catalog) });
+    };
+    callbacks.answered_
+        = [this](std::uint64_t token, const ChangeOutcome& outcome, const std::shared_ptr<const SettingsTree>&) {
+              mailbox_.post(Answered { token, outcome });
+          };
     callbacks.statusChanged_ = [this](const ControlStatus& status) { mailbox_.post(status); };
     callbacks.dropped_ = [this](Reason reason) { metrics_.count(reason); };
     callbacks.failed_ = [this](const Failure& failure) { mailbox_.post(StorageLost { failure }); };
@@ -144,7 +148,10 @@
             BOOST_LEAF_CHECK(control_->start());
             return {};
         },
-        failed, [&] { failed({ Reason::StorageFailed, "unknown error" }); });
+        failed,
+        [&] {
+            failed({ Reason::StorageFailed, "unknown error" });
+        });
 }
 
 void ControlHost::receiveAll()
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -55,7 +55,8 @@
     struct StorageLost {
         Failure failure_;
     };
-    using Message = std::variant<Shutdown, Reload, PeerMessage, Send, CatalogApplied, Answered, ControlStatus, StorageLost>;
+    using Message
+        = std::variant<Shutdown, Reload, PeerMessage, Send, CatalogApplied, Answered, ControlStatus, StorageLost>;
 
     /// An operator's call that waits for the control log.
     struct PendingCall {
--- a/daemon/process/EventLog.cpp
+++ b/daemon/process/EventLog.cpp
@@ -74,8 +74,7 @@
     }
 
     // Writes whole lines and never waits: a line that does not fit into the pipe is dropped.
-    class OutputBackend
-        : public log::sinks::basic_formatted_sink_backend<char, log::sinks::synchronized_feeding> {
+    class OutputBackend : public log::sinks::basic_formatted_sink_backend<char, log::sinks::synchronized_feeding> {
     public:
         // Called by Boost.Log, which gives the name.
         void consume(const log::record_view&, const string_type& line) // NOLINT(readability-identifier-naming)
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -33,18 +33,18 @@
 GatewayTask::GatewayTask(NodeSettings settings, Incarnation incarnation)
     : settings_(std::move(settings))
     , mailbox_(mailboxCapacity, [this] { loop_.wake(); })
-    , peers_({ InstanceId(settings_.peers_), incarnation, settings_.peers_, settings_.deploymentKey_ },
+    , peers_(
+          { InstanceId(settings_.peers_), incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
     , gateway_(loop_, metrics_, { settings_.name_, settings_.dataCentre_ })
     , clients_(loop_, settings_.statements_,
-          settings_.maximumFiles_ > 2 * reservedFiles ? settings_.maximumFiles_ - reservedFiles : settings_.maximumFiles_ / 2,
+          settings_.maximumFiles_ > 2 * reservedFiles ? settings_.maximumFiles_ - reservedFiles
+                                                      : settings_.maximumFiles_ / 2,
           [this](const LineChannelPtr& channel) { gateway_.accept(channel); })
 {
     loop_.setWakeHandler([this] { receiveAll(); });
-    gateway_.setSuspicionHandler([this] {
-        loop_.schedule(Clock::now() + 160ms, [this] { askNow(); });
-    });
+    gateway_.setSuspicionHandler([this] { loop_.schedule(Clock::now() + 160ms, [this] { askNow(); }); });
 }
 
 boost::leaf::result<void> GatewayTask::start()
@@ -100,7 +100,9 @@
 
 void GatewayTask::finishShutdown()
 {
-    if (gateway_.sessions() == 0 || Clock::now() >= shutdownEnd_)
+    // The last answers are on their way while the loop runs one more interval.
+    const bool isOver = gateway_.sessions() == 0 || Clock::now() >= shutdownEnd_;
+    if (isOver && std::exchange(shutdownOver_, true))
         return loop_.stop();
     loop_.schedule(Clock::now() + shutdownCheck, [this] { finishShutdown(); });
 }
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -76,6 +76,7 @@
     Readiness readiness_ { Readiness::Starting };
     TimePoint readinessSince_;
     TimePoint shutdownEnd_;
+    bool shutdownOver_ { false };
 };
 
 } // namespace cassiahollow
--- a/daemon/process/ServeNode.cpp
+++ b/daemon/process/ServeNode.cpp
@@ -57,7 +57,8 @@
         }
     }
 
-    template <typename Task> int serve(const NodeSettings& settings, const std::string& fileName, const sigset_t& signals)
+    template <typename Task>
+    int serve(const NodeSettings& settings, const std::string& fileName, const sigset_t& signals)
     {
         Task task(settings, newIncarnation());
         const bool started = boost::leaf::try_handle_all(
--- a/daemon/process/SettingsReader.h
+++ b/daemon/process/SettingsReader.h
@@ -28,8 +28,7 @@
 
     SettingsReader map(const std::string& key) { return { child(key), pathOf(key), errors_ }; }
 
-    template <typename Value>
-    void read(const std::string& key, Value& value, bool required, std::string_view meaning)
+    template <typename Value> void read(const std::string& key, Value& value, bool required, std::string_view meaning)
     {
         const YAML::Node node = child(key);
         if (!node) {
--- a/daemon/process/SuspendAwareClock.h
+++ b/daemon/process/SuspendAwareClock.h
@@ -7,8 +7,8 @@
 
 namespace cassiahollow {
 
-/// The time of decisions about ages. It goes on while the machine is suspended, which the steady clock does not. The two
-/// are not comparable.
+/// The time of decisions about ages. It goes on while the machine is suspended, which the steady clock does not. The
+/// two are not comparable.
 inline TimePoint suspendAwareNow()
 {
     timespec time {};
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -16,8 +16,8 @@
     constexpr auto connectionSilence = 1000ms;
     constexpr auto openPause = 100ms;
     constexpr auto longestOpenPause = 2s;
-    // A primary that leaves goes on serving until there is another, but no longer than this: below the bound on new work
-    // at a leaving endpoint, less the time in which its announcement spreads.
+    // A primary that leaves goes on serving until there is another, but no longer than this: below the bound on new
+    // work at a leaving endpoint, less the time in which its announcement spreads.
     constexpr auto leavingPrimaryTime = 4s;
     // A connection beyond the first that rested for this long is closed.
     constexpr auto spareLinkTime = 800ms;
@@ -120,13 +120,14 @@
         }
         if (record.leaving_ && !known.record_.leaving_) {
             known.leavingSince_ = suspendAwareNow();
-            LogLine(LogKind::Belief, "endpoint_leaving").with("endpoint", id.value_).with("group", record.group_.value_);
+            LogLine(LogKind::Belief, "endpoint_leaving")
+                .with("endpoint", id.value_)
+                .with("group", record.group_.value_);
         }
         known.record_ = record;
     }
-    std::erase_if(endpoints_, [&](const auto& item) {
-        return item.second->record_.gone_ || !registry_.records_.contains(item.first);
-    });
+    std::erase_if(endpoints_,
+        [&](const auto& item) { return item.second->record_.gone_ || !registry_.records_.contains(item.first); });
     for (const auto& rules : catalog_ ? catalog_->groups_ : std::vector<GroupRules>()) {
         auto& group = groupOf(rules.group_);
         const auto* record = primaryOf(registry_, group.id_);
@@ -187,7 +188,8 @@
     const auto share = connectionShare(rules ? rules->connectionLimit_ : 1, instances_, rank_);
     const auto pause = std::min<Duration>(openPause * (1 << std::min(endpoint.openFailures_, 6)), longestOpenPause);
     const bool mustWait = endpoint.openFailures_ > 0 && now - endpoint.openFailed_ < pause;
-    if (!rules || endpoint.isOpening() || endpoint.links_.size() >= share || now < endpoint.load_.fullUntil_ || mustWait)
+    if (!rules || endpoint.isOpening() || endpoint.links_.size() >= share || now < endpoint.load_.fullUntil_
+        || mustWait)
         return;
     EndpointLinkPtr link;
     // The handlers refer to the link by its place in the endpoint, because it does not exist yet.
@@ -347,7 +349,9 @@
                 link->close();
         }
         std::erase_if(links, [](const EndpointLinkPtr& link) { return link->isClosed(); });
-        for (std::size_t i = links.size(); i > 1; --i) {
+        // An endpoint that leaves gets no statements any more and needs no connection.
+        const std::size_t kept = isUsable(*endpoint) ? 1 : 0;
+        for (std::size_t i = links.size(); i > kept; --i) {
             const auto link = links[i - 1];
             if (!link->isReady() || link->taken_ || now - link->used_ < spareLinkTime)
                 continue;
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -47,7 +47,6 @@
     std::optional<PositionSample> floor_; ///< Of the current attempt.
     LogPosition floorPosition_;
     EndpointLinkPtr link_;
-    bool beginRefused_ { false }; ///< The proof of the lead failed.
     bool isDone_ { false };
     EventLoop::TimerId timer_; ///< The statement's time limit.
     AdmissionItem item_;
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -45,7 +45,7 @@
     sendFit(job->link_, session->sql_, job->shape_);
     session->wrote_ |= job->kind_ == StatementKind::Write;
     job->link_->exchange(platform::encodeQuery(job->id_, job->text_),
-        [this, job, link = job->link_](const EndpointReply* reply) { finished(job, link, reply); });
+        [this, job, link = job->link_](const EndpointReply* reply) { finished(job, link, reply, false); });
 }
 
 void StatementGateway::enqueueJob(const JobPtr& job)
@@ -114,7 +114,8 @@
         if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint))
             reads += static_cast<std::size_t>(endpoint->load_.window_);
     }
-    group.primaryQueue_.settings_.slots_ = std::max<std::size_t>(1, first ? static_cast<std::size_t>(first->load_.window_) : 1);
+    group.primaryQueue_.settings_.slots_
+        = std::max<std::size_t>(1, first ? static_cast<std::size_t>(first->load_.window_) : 1);
     group.readQueue_.settings_.slots_ = std::max<std::size_t>(1, reads);
 }
 
@@ -166,10 +167,11 @@
     if (!earliest)
         return;
     group.hasTimer_ = true;
-    group.timer_ = loop_.schedule(Clock::now() + std::max<Duration>(*earliest - suspendAwareNow(), 1ms), [this, &group] {
-        group.hasTimer_ = false;
-        dispatch(group);
-    });
+    group.timer_
+        = loop_.schedule(Clock::now() + std::max<Duration>(*earliest - suspendAwareNow(), 1ms), [this, &group] {
+              group.hasTimer_ = false;
+              dispatch(group);
+          });
 }
 
 StatementGateway::Endpoint* StatementGateway::placeJob(Group& group, const JobPtr& job)
@@ -180,7 +182,8 @@
     }
     std::vector<Endpoint*> choices;
     auto candidates = candidatesFor(group, *job, choices);
-    std::erase_if(candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
+    std::erase_if(
+        candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
     const auto now = suspendAwareNow();
     const auto chosen = placeRead(candidates, floorAgeOf(*job, now), now);
     return chosen ? choices[*chosen] : nullptr;
@@ -239,19 +242,22 @@
 
 void StatementGateway::runSingle(const JobPtr& job, const EndpointLinkPtr& link, bool proveLead)
 {
-    const auto done = [this, job, link](const EndpointReply* reply) { finished(job, link, reply); };
     if (!proveLead) {
         const auto text = job->needsPrimary_ ? job->text_ : platform::withFloor(job->floorPosition_, job->text_);
-        return link->exchange(platform::encodeQuery(job->id_, text), done);
+        return link->exchange(platform::encodeQuery(job->id_, text),
+            [this, job, link](const EndpointReply* reply) { finished(job, link, reply, false); });
     }
-    // A database that has lost the lead refuses to begin, so a read inside a transaction proves the lead.
-    job->beginRefused_ = false;
-    link->exchange(platform::encodeOwn(platform::beginText()), [this, job](const EndpointReply* reply) {
-        job->beginRefused_ = !reply || reply->error_.has_value();
-        if (reply && !reply->error_ && reply->position_.term_ > 0)
-            sampled(groupOf(job->group_), { job->sent_, reply->position_ });
-    });
-    link->exchange(platform::encodeQuery(job->id_, job->text_), done);
+    // A database that has lost the lead refuses to begin, so a read inside a transaction proves the lead. Time and
+    // proof belong to this attempt alone: another one may be under way.
+    const auto began = std::make_shared<bool>(false);
+    link->exchange(
+        platform::encodeOwn(platform::beginText()), [this, job, began, sent = job->sent_](const EndpointReply* reply) {
+            *began = reply && !reply->error_;
+            if (*began && reply->position_.term_ > 0)
+                sampled(groupOf(job->group_), { sent, reply->position_ });
+        });
+    link->exchange(platform::encodeQuery(job->id_, job->text_),
+        [this, job, link, began](const EndpointReply* reply) { finished(job, link, reply, reply && !*began); });
     link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* reply) {
         freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle);
     });
@@ -259,18 +265,16 @@
 
 void StatementGateway::runFirst(const JobPtr& job, const EndpointLinkPtr& link, bool readOnly)
 {
-    job->beginRefused_ = false;
     const auto begin = readOnly ? platform::withFloor(job->floorPosition_, platform::beginReadText())
                                 : std::string(platform::beginText());
     // A statement after a refused begin would run outside the transaction, so it waits for the answer.
     link->exchange(platform::encodeOwn(begin), [this, job, link, readOnly](const EndpointReply* reply) {
-        job->beginRefused_ = !reply || reply->error_.has_value();
-        if (job->beginRefused_)
-            return finishedFirst(job, link, reply);
+        if (!reply || reply->error_)
+            return finished(job, link, reply, reply != nullptr);
         if (!readOnly && reply->position_.term_ > 0)
             sampled(groupOf(job->group_), { job->sent_, reply->position_ });
         if (job->isDone_)
-            return finishedFirst(job, link, nullptr);
+            return finished(job, link, nullptr, false);
         link->exchange(platform::encodeQuery(job->id_, job->text_),
             [this, job, link](const EndpointReply* answered) { finishedFirst(job, link, answered); });
     });
@@ -278,17 +282,18 @@
 
 void StatementGateway::finishedFirst(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
 {
-    const bool ran = reply && !reply->error_ && !job->beginRefused_;
+    const bool ran = reply && !reply->error_;
     if (ran && !job->isDone_ && !job->session_->closed_) {
         auto& session = *job->session_;
         session.link_ = link;
         session.sql_.transaction_ = TransactionState::Open;
         session.wrote_ |= job->kind_ == StatementKind::Write;
     }
-    finished(job, link, reply);
+    finished(job, link, reply, false);
 }
 
-void StatementGateway::finished(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
+void StatementGateway::finished(
+    const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply, bool beginRefused)
 {
     if (auto* endpoint = find(link->endpoint()); endpoint && endpoint->load_.inFlight_ > 0)
         --endpoint->load_.inFlight_;
@@ -298,14 +303,15 @@
     const auto& session = job->session_;
     auto& sql = session->sql_;
     const bool ownsTransaction = session->link_ == link;
-    const bool provedLead = job->needsPrimary_ && job->kind_ == StatementKind::Read && !job->opensTransaction_ && !ownsTransaction;
+    const bool provedLead
+        = job->needsPrimary_ && job->kind_ == StatementKind::Read && !job->opensTransaction_ && !ownsTransaction;
     if (job->isDone_ || session->closed_) {
         // The client is gone or was answered; the connection is used again only if nothing is open on it.
         if (!provedLead)
             freeLink(link, reply && reply->mark_ == platform::SessionMark::Idle && !ownsTransaction);
         return jobDone(job);
     }
-    const bool failed = !reply || reply->error_ || job->beginRefused_;
+    const bool failed = !reply || reply->error_ || beginRefused;
     // The other attempt may still be answered.
     if (failed && job->outstanding_ > 0) {
         if (!provedLead)
@@ -326,7 +332,7 @@
     if (!reply)
         return lost(job);
     if (failed) {
-        const auto error = job->beginRefused_ ? StatementError::NotPrimary : reply->error_->error_;
+        const auto error = reply->error_ ? reply->error_->error_ : StatementError::NotPrimary;
         LogLine(LogKind::Refusal, "endpoint_error")
             .with("request", job->id_)
             .with("endpoint", link->endpoint().value_)
@@ -399,7 +405,7 @@
         // A read keeps nothing, and a transaction whose connection is gone is rolled back.
         if (job->kind_ == StatementKind::Read || (job->opensTransaction_ && job->kind_ == StatementKind::Write))
             reason = Reason::RetryConnectionLost;
-    } else if (job->beginRefused_ || reply->error_->error_ == StatementError::NotPrimary) {
+    } else if (!reply->error_ || reply->error_->error_ == StatementError::NotPrimary) {
         reason = Reason::RetryStaleRoute;
     } else if (reply->error_->error_ == StatementError::Behind) {
         reason = Reason::RetryReplicaBehind;
@@ -482,7 +488,7 @@
     const bool commits = job->kind_ == StatementKind::Commit;
     const bool keeps = (commits && session->wrote_)
         || (job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None);
-    const auto error = keeps ? StatementError::InDoubt
+    const auto error = keeps                         ? StatementError::InDoubt
         : sql.transaction_ == TransactionState::None ? StatementError::Failed
                                                      : StatementError::Aborted;
     LogLine(keeps ? LogKind::Uncertain : LogKind::Refusal, keeps ? "in_doubt" : "aborted")
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -142,8 +142,9 @@
     case StatementKind::Rollback:
         return endTransaction(session, query.id_, statement);
     case StatementKind::Set:
-        return setValue(sql, statement.name_, statement.argument_) ? answerLocal(session)
-                                                                   : refuse(session, StatementError::Failed, "too many values");
+        return setValue(sql, statement.name_, statement.argument_)
+            ? answerLocal(session)
+            : refuse(session, StatementError::Failed, "too many values");
     case StatementKind::Prepare:
         return prepare(sql, statement.name_, { statement.argument_, statement.prepareWrites_ })
             ? answerLocal(session)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -103,7 +103,7 @@
     void runOn(const JobPtr&, const EndpointLinkPtr&, Endpoint&);
     void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
     void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
-    void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
+    void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*, bool beginRefused);
     void finishedFirst(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
     bool retry(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
     void hedgeLate(Group&);
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -82,8 +82,8 @@
     /// events are waiting; a refused request gets no answer.
     bool post(Event);
 
-    /// The last time at which this member was in contact with a majority: as the leader, or through it. The epoch before
-    /// the first contact. Any thread.
+    /// The last time at which this member was in contact with a majority: as the leader, or through it. The epoch
+    /// before the first contact. Any thread.
     TimePoint lastContact() const { return TimePoint(Duration(contact_.load(std::memory_order_relaxed))); }
 
     /// Answers what is unfinished and ends the thread. Does nothing when the thread has ended.
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -170,7 +170,9 @@
     if (record == registry_.records_.end())
         return;
     const boost::intrusive_ptr<Probe> probe(new Probe);
-    probe->done_ = [this, reign = reign_, id = action.endpoint_](bool alive) { finish(reign, ProbeResult { id, alive }); };
+    probe->done_ = [this, reign = reign_, id = action.endpoint_](bool alive) {
+        finish(reign, ProbeResult { id, alive });
+    };
     probe->channel_ = sockets_.open(record->second.address_, probeTime, probeTime,
         { .opened_ = {},
             .received_ = [probe](std::string_view bytes) { return probe->receive(bytes); },
@@ -184,6 +186,11 @@
     ask(action.endpoint_, action.pauseTerm_ > 0 ? platform::pauseText(action.pauseTerm_) : std::string());
 }
 
+void DutyRunner::carryOut(const ResumeAction& action)
+{
+    ask(action.endpoint_, std::string(platform::resumeText()));
+}
+
 void DutyRunner::carryOut(const StepDownAction& action)
 {
     ask(action.endpoint_, platform::stepDownText(action.term_));
@@ -195,8 +202,7 @@
     if (record == registry_.records_.end())
         return;
     const boost::intrusive_ptr<Survey> survey(new Survey);
-    survey->pending_
-        = platform::encodeOwn(order.empty() ? std::string(platform::statusText()) : order);
+    survey->pending_ = platform::encodeOwn(order.empty() ? std::string(platform::statusText()) : order);
     survey->done_ = [this, reign = reign_, endpoint](const std::optional<platform::DatabaseStatus>& status) {
         SurveyResult result { endpoint, std::nullopt, 0 };
         if (status) {
--- a/daemon/version/DutyRunner.h
+++ b/daemon/version/DutyRunner.h
@@ -40,6 +40,7 @@
 private:
     void carryOut(const ProbeAction&);
     void carryOut(const SurveyAction&);
+    void carryOut(const ResumeAction&);
     void carryOut(const StepDownAction&);
     void carryOut(const GrantAction&);
     void carryOut(const OrderAction&);
--- a/include/cassiahollow/process/Readiness.h
+++ b/include/cassiahollow/process/Readiness.h
@@ -29,9 +29,9 @@
 /// than an election with the questions that it costs.
 inline constexpr Duration isolationTime = std::chrono::milliseconds(900);
 
-/// Answers the load pattern "a data centre is cut off while its clients still come". An instance without control goes on
-/// serving as long as it reaches most primaries: then control is down, and no other instance could do more. When both
-/// are gone, the cut is around this instance, and the platform should send its clients to other data centres.
+/// Answers the load pattern "a data centre is cut off while its clients still come". An instance without control goes
+/// on serving as long as it reaches most primaries: then control is down, and no other instance could do more. When
+/// both are gone, the cut is around this instance, and the platform should send its clients to other data centres.
 Readiness readinessOf(const ReadinessView&);
 
 std::string_view readinessName(Readiness);
--- a/include/cassiahollow/request/PositionSamples.h
+++ b/include/cassiahollow/request/PositionSamples.h
@@ -29,8 +29,9 @@
 /// positions of a term that has ended may never be reached again.
 void addSample(PositionSamples&, PositionSample, TimePoint now);
 
-/// The oldest sample that was asked for at `notBefore` or later: the floor of a read that may miss what was acknowledged
-/// after it. The oldest one gives replicas the most time to catch up, which keeps reads off the primary when they lag.
+/// The oldest sample that was asked for at `notBefore` or later: the floor of a read that may miss what was
+/// acknowledged after it. The oldest one gives replicas the most time to catch up, which keeps reads off the primary
+/// when they lag.
 std::optional<PositionSample> floorSample(const PositionSamples&, TimePoint notBefore);
 
 /// The newest sample, if any.
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -82,13 +82,13 @@
 /// are expected to have caught up; a replica that is behind only when there is no other. Empty: no candidates.
 std::optional<std::size_t> placeRead(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
 
-/// Whether one of the candidates, other than the primary, is expected to have caught up. When none has, a read waits for
-/// the primary at once: a replica that is behind costs a round trip and a retry.
+/// Whether one of the candidates, other than the primary, is expected to have caught up. When none has, a read waits
+/// for the primary at once: a replica that is behind costs a round trip and a retry.
 bool hasCaughtUpReplica(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
 
 /// How long a read waits for its answer before it is also sent elsewhere. Answers the load patterns "answers of an
-/// endpoint are lost", "an endpoint has gone dark" and "a connection has gone silent": well above the usual time, so that
-/// few reads run twice, and within the objective where it can be.
+/// endpoint are lost", "an endpoint has gone dark" and "a connection has gone silent": well above the usual time, so
+/// that few reads run twice, and within the objective where it can be.
 Duration hedgeDelay(const EndpointLoad&, const Route&, TimePoint now);
 
 /// The part of the objective after which an answer is waited for alone no longer, at the earliest.
@@ -112,8 +112,8 @@
 /// change of primary instead, up to promotionShare of their time limit, because a retry could not be served earlier.
 WaitLimits waitLimits(const Route&, TimePoint arrived, bool waitsForPrimary);
 
-/// The weight of a route's statements in the queues of an overloaded endpoint. Each level of priority counts half of the
-/// one above it. Among equals, a route with a short objective has short statements: serving it first serves more.
+/// The weight of a route's statements in the queues of an overloaded endpoint. Each level of priority counts half of
+/// the one above it. Among equals, a route with a short objective has short statements: serving it first serves more.
 double queueWeight(const Route&);
 
 /// When a client whose statement was refused should come back: after the time in which the statements before it are
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -208,8 +208,8 @@
     std::shared_ptr<const CatalogDocument> catalog_;
 };
 
-using ControlAction = std::variant<PersistAction, SendAction, ApplySettingsAction, ApplyGroupAction, ApplyCatalogAction,
-    AnswerAction>;
+using ControlAction
+    = std::variant<PersistAction, SendAction, ApplySettingsAction, ApplyGroupAction, ApplyCatalogAction, AnswerAction>;
 
 /// Deviations from the rules of the log. Tests set one to show that the fault matrix detects it; the daemon sets none.
 struct ControlWrongRules {
@@ -222,9 +222,9 @@
 };
 
 struct ControlLogOptions {
-    /// An election starts after a silence between this and twice this; after a start, before any leader is known, between
-    /// a quarter of this and this, because all members may have started together. A leader that has not heard from a majority for
-    /// this long steps down.
+    /// An election starts after a silence between this and twice this; after a start, before any leader is known,
+    /// between a quarter of this and this, because all members may have started together. A leader that has not heard
+    /// from a majority for this long steps down.
     Duration electionTimeout_ { std::chrono::milliseconds(500) };
     /// Three heartbeats fit into an election timeout, so that one lost message starts no election. With seven members,
     /// the leader sends about 8 KB/s of them.
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -37,6 +37,10 @@
     EndpointId endpoint_;
     Term pauseTerm_ { 0 };
 };
+/// Lets a replica receive again that an abandoned change of primary had stopped. Needs no answer.
+struct ResumeAction {
+    EndpointId endpoint_;
+};
 /// Tells a primary that leaves to take no further writes below the term. Answered by a SurveyResult.
 struct StepDownAction {
     EndpointId endpoint_;
@@ -53,7 +57,7 @@
     EndpointId endpoint_;
     std::uint64_t fence_ { 0 };
 };
-using PromotionAction = std::variant<ProbeAction, SurveyAction, StepDownAction, GrantAction, OrderAction>;
+using PromotionAction = std::variant<ProbeAction, SurveyAction, ResumeAction, StepDownAction, GrantAction, OrderAction>;
 
 struct ProbeResult {
     EndpointId endpoint_;
@@ -102,6 +106,8 @@
     std::set<EndpointId> asked_; ///< Surveyed and not yet answered.
     std::map<EndpointId, LogPosition> positions_;
     std::size_t answersNeeded_ { 1 }; ///< Positions without which no target may be chosen.
+    bool needsPause_ { false }; ///< Commits are confirmed by replicas, so those that are asked have to stop first.
+    std::set<EndpointId> paused_;
     std::uint64_t fence_ { 0 };
     bool isOrderUnknown_ { false }; ///< The last order got no answer.
     LogPosition stoppedAt_; ///< Where a primary that leaves has stopped.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -118,7 +118,7 @@
     {
         return json::array({ KindFeedAnswer, message.number_, message.confirmed_, message.catalogVersion_,
             message.catalog_ ? json::array({ message.catalog_->version_,
-                                   json::binary({ message.catalog_->document_.begin(), message.catalog_->document_.end() }) })
+                json::binary({ message.catalog_->document_.begin(), message.catalog_->document_.end() }) })
                              : json(),
             message.registryMark_, message.records_ ? toJson(*message.records_, now) : json(), message.leader_.value_,
             toJson(message.members_), message.instances_, message.rank_ });
--- a/src/request/PositionSamples.cpp
+++ b/src/request/PositionSamples.cpp
@@ -20,7 +20,8 @@
                 return;
             if (sample.position_.index_ < newest.position_.index_)
                 sample.position_ = newest.position_;
-            const bool isClose = samples.size() > 1 && sample.asked_ - samples[samples.size() - 2].asked_ < sampleSpacing;
+            const bool isClose
+                = samples.size() > 1 && newest.asked_ - samples[samples.size() - 2].asked_ < sampleSpacing;
             if (isClose) {
                 samples.back() = sample;
                 return;
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -18,7 +18,8 @@
 
     double weightLeft(Duration age)
     {
-        return std::exp2(-std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(learningHalfLife)));
+        return std::exp2(
+            -std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(learningHalfLife)));
     }
 
 } // namespace
@@ -102,7 +103,8 @@
     double bestSeconds = 0;
     for (const auto& candidate : candidates) {
         const auto& load = *candidate.load_;
-        const double share = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
+        const double share
+            = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
         double seconds = expectedResponse(load, now) * std::max(1.0, share);
         seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
         seconds += candidate.isNear_ ? 0 : distancePenaltySeconds;
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -117,7 +117,8 @@
         auto& state = step.state_;
         const auto timeout = state.options_.electionTimeout_;
         const auto shortest = state.hasKnownLeader_ ? timeout : timeout / 4;
-        std::uniform_int_distribution<Duration::rep> extra(0, state.hasKnownLeader_ ? timeout.count() : (timeout - shortest).count());
+        std::uniform_int_distribution<Duration::rep> extra(
+            0, state.hasKnownLeader_ ? timeout.count() : (timeout - shortest).count());
         state.electionDeadline_ = step.now_ + shortest + Duration(extra(state.random_));
     }
 
@@ -183,8 +184,7 @@
     {
         auto settings = std::make_shared<const SettingsTree>(step.state_.control_.settings_);
         const auto revision = settings->revision_;
-        answer(
-            step, origin,
+        answer(step, origin,
             { .outcome_ = Outcome::Done,
                 .revision_ = revision,
                 .decided_ = true,
@@ -610,7 +610,8 @@
                 isRunning |= member.instance_ == instance && isAlive(step, member.identity_);
             }
             // An instance that also answers with its old identity runs twice; the operator has to stop one of them.
-            if (isRunning || (!isKnown && !state.options_.admitsUnknown_) || (hello.founded_ && hello.cluster_ != state.configuration_->cluster_))
+            if (isRunning || (!isKnown && !state.options_.admitsUnknown_)
+                || (hello.founded_ && hello.cluster_ != state.configuration_->cluster_))
                 continue;
             std::erase_if(next.members_, [&](const auto& m) { return m.instance_ == instance && !m.voter_; });
             next.members_.push_back({ instance, hello.identity_, false });
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -61,6 +61,14 @@
         return endpoints;
     }
 
+    void abandon(Turn& turn, GroupPromotion& group)
+    {
+        for (const auto& endpoint : group.paused_)
+            turn.actions_.emplace_back(ResumeAction { endpoint });
+        group.paused_.clear();
+        enter(turn, group, PromotionPhase::Watching);
+    }
+
     void beginSurvey(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         group.positions_.clear();
@@ -74,10 +82,14 @@
         // leaves is stopped and asked itself.
         const bool needsOverlap = synchronous > 0 && group.cause_ != PromotionCause::Leaving;
         group.answersNeeded_ = needsOverlap && replicas.size() >= synchronous ? replicas.size() - synchronous + 1 : 1;
+        group.needsPause_ = needsOverlap;
+        // The first survey of such a group finds the term above which the second one stops the replicas.
         const Term pauseTerm = needsOverlap && group.highestTerm_ > 0 ? group.highestTerm_ + 1 : 0;
         for (const auto* record : replicas) {
             group.asked_.insert(record->id_);
             turn.actions_.emplace_back(SurveyAction { record->id_, pauseTerm });
+            if (pauseTerm > 0)
+                group.paused_.insert(record->id_);
         }
         if (group.cause_ == PromotionCause::Leaving) {
             group.asked_.insert(group.primary_);
@@ -91,6 +103,7 @@
         group.cause_ = cause;
         group.refused_.clear();
         group.stoppedAt_ = {};
+        group.highestTerm_ = 0;
         beginSurvey(turn, id, group);
     }
 
@@ -145,6 +158,8 @@
         const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
         if (!group.asked_.empty() && !isTimeOver)
             return;
+        if (group.needsPause_ && group.paused_.empty() && group.highestTerm_ > 0)
+            return beginSurvey(turn, id, group);
         const EndpointRecord* best = nullptr;
         std::size_t answers = 0;
         for (const auto* record : candidates(turn, id, group)) {
@@ -160,7 +175,7 @@
         if (!best || answers < group.answersNeeded_) {
             group.refused_.clear();
             if (isTimeOver)
-                enter(turn, group, PromotionPhase::Watching);
+                abandon(turn, group);
             return;
         }
         group.target_ = best->id_;
@@ -182,7 +197,7 @@
         if (!group.granted_)
             return;
         if (!*group.granted_)
-            return enter(turn, group, PromotionPhase::Watching);
+            return abandon(turn, group);
         const bool canStop = group.cause_ == PromotionCause::Leaving && group.stoppedAt_ == LogPosition {}
             && group.positions_.contains(group.primary_);
         if (!canStop)
@@ -208,8 +223,13 @@
     void catchUp(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.catchUpTime_;
-        if (group.positions_[group.target_] >= group.stoppedAt_ || isTimeOver)
+        if (group.positions_[group.target_] >= group.stoppedAt_)
             return order(turn, id, group);
+        // Where replicas confirm commits, none may be lost; the next attempt may find another target.
+        if (isTimeOver) {
+            const auto* rules = findGroup(turn.catalog_, id);
+            return rules && rules->synchronousReplicas_ > 0 ? abandon(turn, group) : order(turn, id, group);
+        }
         if (group.asked_.empty()) {
             group.asked_ = { group.target_ };
             turn.actions_.emplace_back(SurveyAction { group.target_, 0 });
@@ -240,6 +260,7 @@
         const auto* primary = primaryOf(turn.registry_, id);
         if (primary && primary->id_ == group.target_) {
             group.refused_.clear();
+            group.paused_.clear(); // A promotion lets all replicas receive again.
             return enter(turn, group, PromotionPhase::Watching);
         }
         const auto waited = turn.now_ - group.phaseSince_;
@@ -249,7 +270,7 @@
             return enter(turn, group, PromotionPhase::Granting);
         }
         if (waited > turn.options_.settleTime_)
-            enter(turn, group, PromotionPhase::Watching);
+            abandon(turn, group);
     }
 
     void advance(Turn& turn, const GroupId& id, GroupPromotion& group)
@@ -282,8 +303,8 @@
     duty.views_.clear();
 }
 
-void recordReports(PromotionDuty& duty, const InstanceId& instance, const std::vector<EndpointReport>& reports,
-    TimePoint now)
+void recordReports(
+    PromotionDuty& duty, const InstanceId& instance, const std::vector<EndpointReport>& reports, TimePoint now)
 {
     for (const auto& report : reports)
         duty.views_[report.endpoint_][instance] = { now, report.answeredAgo_, report.failingFor_ };
--- a/src/version/RouteCatalog.cpp
+++ b/src/version/RouteCatalog.cpp
@@ -48,8 +48,8 @@
 
 const GroupRules* findGroup(const RouteCatalog& catalog, const GroupId& group)
 {
-    const auto found = std::find_if(catalog.groups_.begin(), catalog.groups_.end(),
-        [&](const GroupRules& rules) { return rules.group_ == group; });
+    const auto found = std::find_if(
+        catalog.groups_.begin(), catalog.groups_.end(), [&](const GroupRules& rules) { return rules.group_ == group; });
     return found == catalog.groups_.end() ? nullptr : &*found;
 }
 
--- /dev/null
+++ b/tests/ControlCatalogTest.cpp
@@ -0,0 +1,267 @@
+#include "ControlSimulation.h"
+#include "TestFailure.h"
+#include "cassiahollow/version/ControlCodec.h"
+#include "cassiahollow/version/ControlLog.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cassiahollow;
+using namespace std::chrono_literals;
+
+// What the control log does for the roles of the line protocol: catalogs, grants, and members that come and go.
+
+namespace {
+
+ControlChange catalogChange(std::uint64_t version, const std::string& document)
+{
+    return { "catalog-" + std::to_string(version) + "-" + std::to_string(document.size()),
+        CatalogChange { { version, document } } };
+}
+
+ControlChange grantChange(const std::string& key, const std::string& holder = "a")
+{
+    return { key, GrantChange { GroupId("returns"), EndpointId("i-1"), InstanceId(holder) } };
+}
+
+ChangeOutcome ask(ControlSimulation& simulation, const std::string& name, ControlRequest request)
+{
+    const auto number = simulation.ask(name, std::move(request));
+    simulation.runUntil([&] { return simulation.requests()[number].outcome_.has_value(); }, 10s);
+    return simulation.requests()[number].outcome_.value_or(ChangeOutcome {});
+}
+
+// Members by hand, for memberships that the simulation does not know.
+struct Members {
+    std::map<InstanceId, ControlLogState> logs_;
+    std::set<InstanceId> silent_;
+    TimePoint now_ { 1h };
+    ControlLogOptions options_;
+    std::vector<InstanceId> listed_ { InstanceId("a"), InstanceId("b"), InstanceId("c") };
+    int starts_ { 0 };
+
+    Members() { options_.admitsUnknown_ = true; }
+
+    void start(const std::string& name, bool mayFound)
+    {
+        auto options = options_;
+        options.mayFound_ = mayFound;
+        const auto number = ++starts_;
+        logs_[InstanceId(name)] = startControlLog(InstanceId(name), name + "-" + std::to_string(number), listed_, {},
+            {}, options, static_cast<std::uint64_t>(number), now_);
+    }
+
+    void run(Duration time)
+    {
+        std::vector<SendAction> mail;
+        const auto take = [&](const std::vector<ControlAction>& actions) {
+            for (const auto& action : actions) {
+                if (const auto* send = std::get_if<SendAction>(&action))
+                    mail.push_back(*send);
+            }
+        };
+        for (const auto end = now_ + time; now_ < end; now_ += 10ms) {
+            const auto arrived = std::exchange(mail, {});
+            for (const auto& message : arrived) {
+                const auto recipient = logs_.find(message.recipient_);
+                if (recipient != logs_.end() && !silent_.contains(message.recipient_)
+                    && !silent_.contains(message.message_.sender_))
+                    take(step(recipient->second, message.message_, now_));
+            }
+            for (auto& [name, log] : logs_) {
+                if (!silent_.contains(name))
+                    take(step(log, ControlTick {}, now_));
+            }
+        }
+    }
+
+    std::set<std::string> voters() const
+    {
+        for (const auto& [name, log] : logs_) {
+            if (log.role_ != ControlRole::Leader || silent_.contains(name))
+                continue;
+            std::set<std::string> names;
+            for (const auto& member : log.configuration_->members_) {
+                if (member.voter_)
+                    names.insert(member.instance_.value_);
+            }
+            return names;
+        }
+        return {};
+    }
+};
+
+} // namespace
+
+// Guards against an older catalog replacing a newer one, and against a refusal of one that was overtaken.
+TEST_CASE("the highest version is in force, and older ones are acknowledged without effect")
+{
+    ControlState state;
+    CHECK(applyChange(state, catalogChange(5, "five")).outcome_ == Outcome::Done);
+    CHECK(applyChange(state, catalogChange(3, "three")).outcome_ == Outcome::Done);
+    CHECK(applyChange(state, catalogChange(5, "another")).outcome_ == Outcome::Done);
+    CHECK(state.catalog_ == CatalogDocument { 5, "five" });
+    CHECK(applyChange(state, catalogChange(9, "nine")).revision_ == 9);
+    CHECK(state.catalog_ == CatalogDocument { 9, "nine" });
+}
+
+// Guards against two holders with one fence.
+TEST_CASE("each grant of a group has a higher fence")
+{
+    ControlState state;
+    CHECK(applyChange(state, grantChange("1")).revision_ == 1);
+    CHECK(applyChange(state, grantChange("2", "b")).revision_ == 2);
+    CHECK(applyChange(state, grantChange("2", "b")).revision_ == 2); // A repeated request gets its first answer.
+    CHECK(applyChange(state, grantChange("3")).revision_ == 3);
+    CHECK(state.grants_.at(GroupId("returns")).holder_ == InstanceId("a"));
+}
+
+TEST_CASE("malformed catalogs and grants are refused before they enter the log")
+{
+    CHECK(failureOf([] { return checkChange(catalogChange(0, "x")); }));
+    CHECK(failureOf([] { return checkChange(catalogChange(1, std::string(600 * 1024, 'x'))); }));
+    CHECK(failureOf([] {
+        return checkChange({ "k", GrantChange { GroupId(""), EndpointId("i"), InstanceId("a") } });
+    }));
+    CHECK_FALSE(failureOf([] { return checkChange(catalogChange(1, "x")); }));
+    CHECK_FALSE(failureOf([] { return checkChange(grantChange("1")); }));
+}
+
+// Guards against an acknowledged catalog that a crash, a snapshot or a lost disk takes away.
+TEST_CASE("an acknowledged catalog and its grants survive crashes, snapshots and a lost disk")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        ControlSimulation::Options options;
+        options.seed_ = seed;
+        options.log_.snapshotAfter_ = 4;
+        options.log_.keptEntries_ = 1;
+        ControlSimulation simulation(options);
+        std::uint64_t version = 0;
+        for (int i = 1; i <= 12; ++i) {
+            const auto name = simulation.instances()[static_cast<std::size_t>(i) % 3];
+            if (ask(simulation, name, catalogChange(static_cast<std::uint64_t>(i), "document")).outcome_
+                == Outcome::Done)
+                version = static_cast<std::uint64_t>(i);
+            ask(simulation, name, grantChange("grant-" + std::to_string(i)));
+            if (i % 4 == 0) {
+                simulation.crash(simulation.leader().empty() ? "a" : simulation.leader(), i == 8, 500ms);
+                simulation.runUntil([&] { return simulation.isSettled(); }, 30s);
+            }
+        }
+        REQUIRE(version > 0);
+        REQUIRE(simulation.runUntil([&] { return simulation.isSettled(); }, 30s));
+        for (const auto& name : simulation.instances())
+            CHECK(simulation.log(name).control_.catalog_.version_ >= version);
+        const auto read = ask(simulation, "b", ControlRead {});
+        CHECK(read.outcome_ == Outcome::Done);
+        CHECK(read.catalogVersion_ >= version);
+    }
+}
+
+TEST_CASE("catalogs and grants pass through the codec")
+{
+    ControlMessage message { "x", InstanceId("a"), "a-1", "b-1", 3, {} };
+    AppendRequest append { .previous_ = { 2, 7 } };
+    append.entries_.push_back({ { 3, 8 }, catalogChange(4, std::string("any\0bytes", 9)) });
+    append.entries_.push_back({ { 3, 9 }, grantChange("g") });
+    message.body_ = append;
+    std::optional<ControlMessage> decoded;
+    REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(decoded, decodeControlMessage(encodeControlMessage(message)));
+        return {};
+    }));
+    CHECK(std::get<AppendRequest>(decoded->body_).entries_ == append.entries_);
+
+    auto snapshot = std::make_shared<ControlSnapshot>();
+    snapshot->last_ = { 3, 9 };
+    snapshot->configuration_ = { "x", { { InstanceId("a"), "a-1", true } } };
+    applyChange(snapshot->state_, catalogChange(4, "document"));
+    applyChange(snapshot->state_, grantChange("g"));
+    message.body_ = SnapshotRequest { snapshot, 2 };
+    REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(decoded, decodeControlMessage(encodeControlMessage(message)));
+        return {};
+    }));
+    CHECK(*std::get<SnapshotRequest>(decoded->body_).snapshot_ == *snapshot);
+}
+
+// Guards against a restarted member with an empty disk that founds a second cluster.
+TEST_CASE("a member that may not found waits to be admitted")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, false);
+    members.run(10s);
+    CHECK(members.voters().empty());
+}
+
+// Guards against a deployment that stays at the members of its first second.
+TEST_CASE("a member that nobody listed is admitted and gets its vote")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.start("d", true);
+    members.run(5s);
+    CHECK(members.voters() == std::set<std::string> { "a", "b", "c", "d" });
+}
+
+// Guards against a machine that is gone for good counting for the majority for ever: the next loss would stop control.
+TEST_CASE("a machine that is replaced by another loses its vote, and the next loss is borne")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.run(5s);
+    members.logs_.erase(InstanceId("c"));
+    members.run(2s);
+    members.start("e", false);
+    members.run(members.options_.removeSilentAfter_ + 10s);
+    CHECK(members.voters() == std::set<std::string> { "a", "b", "e" });
+    members.silent_.insert(InstanceId("a"));
+    members.run(5s);
+    CHECK_FALSE(members.voters().empty());
+}
+
+// Guards against a removal that leaves too few members, and against one because of a short silence.
+TEST_CASE("silent members keep their votes while the others are few, or the silence is short")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.start("d", true);
+    members.run(5s);
+    members.silent_.insert(InstanceId("d"));
+    members.run(members.options_.removeSilentAfter_ - 2s);
+    CHECK(members.voters().size() == 4);
+    members.run(5s);
+    CHECK(members.voters() == std::set<std::string> { "a", "b", "c" });
+    members.silent_.insert(InstanceId("c"));
+    members.run(20s);
+    CHECK(members.voters().size() == 3);
+    // The one that was removed while it was away comes back.
+    members.silent_.clear();
+    members.run(10s);
+    CHECK(members.voters().size() == 4);
+}
+
+// Guards against a slow start: all members that lose power together have to elect within the callers' patience.
+TEST_CASE("members that start together elect within an election time-out")
+{
+    for (int seed = 0; seed < 20; ++seed) {
+        Members members;
+        members.starts_ = seed * 10;
+        for (const auto* name : { "a", "b", "c" })
+            members.start(name, true);
+        members.run(3s);
+        REQUIRE_FALSE(members.voters().empty());
+        for (const auto* name : { "a", "b", "c" }) {
+            auto& log = members.logs_.at(InstanceId(name));
+            log = startControlLog(InstanceId(name), log.identity_, members.listed_, {}, log.stored_, members.options_,
+                static_cast<std::uint64_t>(seed * 7 + name[0]), members.now_);
+        }
+        CHECK(members.voters().empty());
+        members.run(2 * members.options_.electionTimeout_);
+        CHECK_FALSE(members.voters().empty());
+    }
+}
--- /dev/null
+++ b/tests/DirectoryFeedTest.cpp
@@ -0,0 +1,106 @@
+#include "cassiahollow/process/DirectoryFeed.h"
+
+#include "TestFailure.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cassiahollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint senderNow { 10h };
+const TimePoint receiverNow { 3h }; // Clocks of two machines have nothing to do with each other.
+
+DirectoryMessage carried(const DirectoryMessage& message)
+{
+    std::optional<DirectoryMessage> decoded;
+    REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(decoded, decodeDirectoryMessage(encodeDirectoryMessage(message, senderNow), receiverNow));
+        return {};
+    }));
+    return *decoded;
+}
+
+EndpointRecord record()
+{
+    EndpointRecord record;
+    record.id_ = EndpointId("i-1");
+    record.group_ = GroupId("returns");
+    record.address_ = "10.0.0.1:80";
+    record.dataCentre_ = DataCentre("a");
+    record.born_ = 1'700'000'000'000;
+    record.sequence_ = 9;
+    record.slots_ = 3;
+    record.role_ = EndpointRole::Primary;
+    record.leaving_ = true;
+    record.heard_ = senderNow - 400ms;
+    record.roleSince_ = senderNow - 5s;
+    return record;
+}
+
+} // namespace
+
+// Guards against times of one machine's clock being used on another.
+TEST_CASE("records keep their ages on the way to another clock")
+{
+    const auto update
+        = std::get<RegistryUpdate>(carried(RegistryUpdate { { record() }, true, true, { InstanceId("x") } }));
+    REQUIRE(update.records_.size() == 1);
+    const auto& arrived = update.records_[0];
+    CHECK(arrived.heard_ == receiverNow - 400ms);
+    CHECK(arrived.roleSince_ == receiverNow - 5s);
+    CHECK(arrived.born_ == 1'700'000'000'000);
+    CHECK(arrived.role_ == EndpointRole::Primary);
+    CHECK(arrived.leaving_);
+    CHECK(update.wantsAll_);
+    CHECK(update.missesRecipient_);
+    CHECK(update.instances_ == std::vector { InstanceId("x") });
+}
+
+TEST_CASE("questions and answers arrive whole")
+{
+    FeedRequest request { 7, 12, "mark", false, true, { { EndpointId("i-1"), Duration::max(), 30ms } } };
+    const auto asked = std::get<FeedRequest>(carried(request));
+    CHECK(asked.number_ == 7);
+    CHECK(asked.catalogVersion_ == 12);
+    CHECK(asked.registryMark_ == "mark");
+    CHECK_FALSE(asked.takesRequests_);
+    CHECK(asked.missesAnswers_);
+    REQUIRE(asked.reports_.size() == 1);
+    CHECK(asked.reports_[0].answeredAgo_ == Duration::max());
+    CHECK(asked.reports_[0].failingFor_ == 30ms);
+
+    FeedAnswer answer;
+    answer.number_ = 7;
+    answer.confirmed_ = true;
+    answer.catalogVersion_ = 13;
+    const std::string anyBytes("\x00\xff{\"", 4);
+    answer.catalog_ = std::make_shared<const CatalogDocument>(CatalogDocument { 13, anyBytes });
+    answer.leader_ = InstanceId("l");
+    answer.members_ = { InstanceId("l"), InstanceId("m") };
+    answer.instances_ = 17;
+    answer.rank_ = 4;
+    const auto answered = std::get<FeedAnswer>(carried(answer));
+    CHECK(answered.confirmed_);
+    CHECK(*answered.catalog_ == *answer.catalog_);
+    CHECK_FALSE(answered.records_);
+    CHECK(answered.members_ == answer.members_);
+    CHECK(answered.rank_ == 4);
+    const auto relayed = std::get<ReportRelay>(carried(ReportRelay { InstanceId("x"), request.reports_ }));
+    CHECK(relayed.instance_ == InstanceId("x"));
+}
+
+// Guards against damaged or foreign messages that throw into a task or are half applied.
+TEST_CASE("a message that cannot be read is refused")
+{
+    const auto bytes = encodeDirectoryMessage(RegistryUpdate { { record() }, false, false, {} }, senderNow);
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        const auto failure = failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(decodeDirectoryMessage(std::string_view(bytes).substr(0, size), receiverNow));
+            return {};
+        });
+        REQUIRE(failure);
+        CHECK(failure->reason_ == Reason::MessageMalformed);
+    }
+}
--- /dev/null
+++ b/tests/PromotionDutyTest.cpp
@@ -0,0 +1,260 @@
+#include "cassiahollow/version/PromotionDuty.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace cassiahollow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1h };
+const GroupId group("returns");
+
+/// One group of three endpoints behind a simulated authority.
+struct World {
+    PromotionDuty duty_;
+    EndpointRegistry registry_;
+    RouteCatalog catalog_;
+    PromotionOptions options_;
+    TimePoint now_ { start };
+    std::uint64_t sequence_ { 1 };
+    std::vector<OrderAction> orders_;
+    std::vector<PromotionAction> all_;
+    std::map<EndpointId, LogPosition> positions_ { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 98 } },
+        { EndpointId("i3"), { 1, 99 } } };
+    std::set<EndpointId> dark_;
+    std::optional<OrderOutcome> orderOutcome_ { OrderOutcome::Accepted };
+    std::uint64_t fence_ { 0 };
+    bool grants_ { true };
+
+    explicit World(std::size_t synchronous = 0)
+    {
+        catalog_.version_ = 1;
+        catalog_.groups_ = { { group, 34, synchronous } };
+        for (const auto* id : { "i1", "i2", "i3" })
+            report(id, id == std::string("i1") ? EndpointRole::Primary : EndpointRole::Replica);
+    }
+
+    void report(const std::string& id, EndpointRole role, bool leaving = false)
+    {
+        EndpointRecord record;
+        record.id_ = EndpointId(id);
+        record.group_ = group;
+        record.address_ = id + ":80";
+        record.born_ = 1;
+        record.sequence_ = sequence_++;
+        record.role_ = role;
+        record.leaving_ = leaving;
+        record.heard_ = now_;
+        record.roleSince_ = now_;
+        mergeRecord(registry_, record);
+    }
+
+    void seen(const std::string& instance, Duration answeredAgo, Duration failingFor)
+    {
+        recordReports(duty_, InstanceId(instance), { { EndpointId("i1"), answeredAgo, failingFor } }, now_);
+    }
+
+    void answer(const PromotionAction& action)
+    {
+        all_.push_back(action);
+        if (const auto* probe = std::get_if<ProbeAction>(&action)) {
+            handleResult(duty_, ProbeResult { probe->endpoint_, !dark_.contains(probe->endpoint_) });
+        } else if (const auto* survey = std::get_if<SurveyAction>(&action)) {
+            const bool answers = !dark_.contains(survey->endpoint_);
+            handleResult(duty_,
+                SurveyResult { survey->endpoint_,
+                    answers ? std::optional(positions_.at(survey->endpoint_)) : std::nullopt,
+                    answers ? Term(1) : Term(0) });
+        } else if (const auto* stepDown = std::get_if<StepDownAction>(&action)) {
+            CHECK(stepDown->term_ == 2);
+            if (!dark_.contains(stepDown->endpoint_))
+                handleResult(duty_, SurveyResult { stepDown->endpoint_, positions_.at(stepDown->endpoint_), 1 });
+        } else if (const auto* grant = std::get_if<GrantAction>(&action)) {
+            handleResult(duty_, GrantResult { grant->group_, grants_ ? std::optional(++fence_) : std::nullopt });
+        } else if (const auto* order = std::get_if<OrderAction>(&action)) {
+            orders_.push_back(*order);
+            if (orderOutcome_)
+                handleResult(duty_, OrderResult { group, *orderOutcome_ });
+        }
+    }
+
+    void run(Duration time, Duration step = 10ms)
+    {
+        for (const auto end = now_ + time; now_ < end; now_ += step) {
+            for (const auto& action : tickDuty(duty_, registry_, catalog_, options_, now_))
+                answer(action);
+        }
+    }
+
+    /// The instances that use the primary see it fail, and it answers nobody.
+    void loseThePrimary(Duration time)
+    {
+        dark_.insert(EndpointId("i1"));
+        for (const auto end = now_ + time; now_ < end;) {
+            seen("front-1", 5s, 200ms);
+            seen("front-2", 5s, 200ms);
+            run(100ms);
+        }
+    }
+
+    template <typename Action> bool did() const
+    {
+        return std::any_of(
+            all_.begin(), all_.end(), [](const auto& action) { return std::holds_alternative<Action>(action); });
+    }
+};
+
+} // namespace
+
+// Guards against a slow or wrong change of primary; the bound is that of a change of primary less the promotion itself.
+TEST_CASE("a primary that is dark for all is replaced by the replica that holds most")
+{
+    World world;
+    world.loseThePrimary(800ms);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i3"));
+    CHECK(world.orders_[0].fence_ == 1);
+    world.report("i3", EndpointRole::Primary);
+    world.run(3s);
+    CHECK(world.orders_.size() == 1);
+    CHECK(world.duty_.groups_.at(group).phase_ == PromotionPhase::Watching);
+}
+
+// Guards against a promotion because of one instance's connections.
+TEST_CASE("a primary that answers the leader is kept, whatever an instance reports")
+{
+    World world;
+    for (int i = 0; i < 20; ++i) {
+        world.seen("front-1", 5s, 2s);
+        world.run(100ms);
+    }
+    CHECK(world.did<ProbeAction>());
+    CHECK(world.orders_.empty());
+}
+
+// Guards against a leader that is cut off from a primary that serves everybody else.
+TEST_CASE("a primary that the leader alone does not reach is kept")
+{
+    World world;
+    world.dark_.insert(EndpointId("i1"));
+    for (int i = 0; i < 30; ++i) {
+        world.seen("front-1", 5s, 2s);
+        world.seen("front-2", 10ms, 0ms);
+        world.seen("front-3", 10ms, 0ms);
+        world.run(100ms);
+    }
+    CHECK(world.orders_.empty());
+}
+
+// Guards against a commit that the old primary acknowledged last and the new one lacks.
+TEST_CASE("a primary that leaves stops first, and the target catches up")
+{
+    World world;
+    world.report("i1", EndpointRole::Primary, true);
+    world.run(200ms);
+    CHECK(world.did<StepDownAction>());
+    CHECK(world.orders_.empty()); // i3 lacks 100.
+    world.positions_[EndpointId("i3")] = { 1, 100 };
+    world.run(200ms);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i3"));
+}
+
+TEST_CASE("a primary that leaves is replaced although the target does not catch up, unless replicas confirm commits")
+{
+    World world;
+    world.report("i1", EndpointRole::Primary, true);
+    world.run(1s);
+    CHECK(world.orders_.size() == 1);
+    World confirmed(1);
+    confirmed.report("i1", EndpointRole::Primary, true);
+    confirmed.run(1s);
+    CHECK(confirmed.orders_.empty());
+}
+
+// Guards against a promotion that loses a commit that one replica confirmed and the target does not hold.
+TEST_CASE("where replicas confirm commits, all that could hold one are asked and stop first")
+{
+    World world(1);
+    world.loseThePrimary(1s);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i3"));
+    const auto paused = std::count_if(world.all_.begin(), world.all_.end(), [](const auto& action) {
+        const auto* survey = std::get_if<SurveyAction>(&action);
+        return survey && survey->pauseTerm_ == 2;
+    });
+    CHECK(paused == 2);
+
+    World unsure(1);
+    unsure.dark_.insert(EndpointId("i2"));
+    unsure.loseThePrimary(3s);
+    CHECK(unsure.orders_.empty()); // i2 may hold a commit that i3 lacks.
+    CHECK(unsure.did<ResumeAction>());
+}
+
+// Guards against two orders with one fence: the older may be carried out after newer ones.
+TEST_CASE("an order without an answer is repeated with a higher fence")
+{
+    World world;
+    world.orderOutcome_ = OrderOutcome::Unknown;
+    world.loseThePrimary(3s);
+    REQUIRE(world.orders_.size() >= 2);
+    for (std::size_t i = 1; i < world.orders_.size(); ++i) {
+        CHECK(world.orders_[i].fence_ > world.orders_[i - 1].fence_);
+        CHECK(world.orders_[i].endpoint_ == world.orders_[0].endpoint_);
+    }
+}
+
+// Guards against repeating what the authority has refused: the target may not be running.
+TEST_CASE("after a refusal another target is ordered, with a new fence")
+{
+    World world;
+    world.orderOutcome_ = OrderOutcome::Refused;
+    world.loseThePrimary(1s);
+    REQUIRE(world.orders_.size() >= 2);
+    CHECK(world.orders_[1].endpoint_ == EndpointId("i2"));
+    CHECK(world.orders_[1].fence_ > world.orders_[0].fence_);
+}
+
+// Guards against a leader without a majority that orders with a fence it does not have.
+TEST_CASE("without a grant nothing is ordered")
+{
+    World world;
+    world.grants_ = false;
+    world.loseThePrimary(3s);
+    CHECK(world.orders_.empty());
+}
+
+TEST_CASE("a group in which nobody claims to lead gets a primary")
+{
+    World world;
+    world.report("i1", EndpointRole::Replica);
+    world.run(world.options_.missingTime_ + 1s);
+    CHECK_FALSE(world.orders_.empty());
+}
+
+// Guards against a choice among endpoints that are leaving or were not heard of.
+TEST_CASE("endpoints that leave or are silent are no targets")
+{
+    World world;
+    world.report("i3", EndpointRole::Replica, true);
+    world.loseThePrimary(1s);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i2"));
+}
+
+// Guards against results of an earlier question that move a later state.
+TEST_CASE("answers that nobody waits for change nothing")
+{
+    World world;
+    world.run(100ms);
+    handleResult(world.duty_, ProbeResult { EndpointId("i1"), false });
+    handleResult(world.duty_, SurveyResult { EndpointId("i3"), LogPosition { 9, 9 }, 9 });
+    handleResult(world.duty_, GrantResult { group, 7 });
+    handleResult(world.duty_, OrderResult { group, OrderOutcome::Accepted });
+    world.run(100ms);
+    CHECK(world.duty_.groups_.at(group).phase_ == PromotionPhase::Watching);
+    CHECK(world.all_.empty());
+}
