Share scarce connections: samples by control members, a preferred replica, primary connections on demand

Ruled out for now: forwarding statements to a holder (a hop for each statement, and bytes between zones).

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -59,11 +59,13 @@
           [this](Reason reason) { metrics_.count(reason); })
     , store_(std::filesystem::path(settings_.dataFolder_) / "registry")
     , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
-          registry_, [this](const GrantChange& grant) {
+          registry_,
+          [this](const GrantChange& grant) {
               const auto key
                   = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
               submit(ControlChange { key, grant }, { .grant_ = grant.group_ });
           })
+    , sampler_(loop_, registry_, settings_.name_)
 {
     loop_.setWakeHandler([this] { receiveAll(); });
 }
@@ -210,7 +212,8 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(document_->document_));
-            duty_.setCatalog(std::make_shared<const RouteCatalog>(std::move(catalog)));
+            catalog_ = std::make_shared<const RouteCatalog>(std::move(catalog));
+            duty_.setCatalog(catalog_);
             return {};
         },
         [this](const Failure& failure) { metrics_.count(failure.reason_); },
@@ -513,6 +516,7 @@
     for (const auto& member : status_.members_)
         answer.members_.push_back(member.instance_);
     const auto all = entryInstances();
+    answer.samples_ = sampler_.samples();
     answer.instances_ = all.size();
     answer.rank_ = static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), id) - all.begin());
     return answer;
@@ -558,6 +562,8 @@
         }
     }
     duty_.tick();
+    if (catalog_)
+        sampler_.tick(*catalog_, entryInstances().size());
     loop_.schedule(now + tickInterval, [this] { tick(); });
 }
 
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -10,6 +10,7 @@
 #include "process/RegistryStore.h"
 #include "version/ControlTask.h"
 #include "version/DutyRunner.h"
+#include "version/PrimarySampler.h"
 
 #include <map>
 #include <memory>
@@ -126,6 +127,8 @@
     std::unique_ptr<HttpListener> operators_;
     std::unique_ptr<HttpListener> metricsListener_;
     DutyRunner duty_;
+    PrimarySampler sampler_;
+    std::shared_ptr<const RouteCatalog> catalog_;
     std::unique_ptr<ControlTask> control_;
     ControlStatus status_;
     std::shared_ptr<const CatalogDocument> document_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -132,6 +132,11 @@
 {
     if (sender == member_ && answer.number_ > 0) {
         unanswered_ = 0;
+        // An older question was asked before this time, so its samples would be dated too late.
+        if (answer.number_ == number_) {
+            for (const auto& sample : answer.samples_)
+                gateway_.addSample(sample.group_, { askedAt_ - sample.age_, sample.position_ });
+        }
         if (answer.confirmed_) {
             if (!std::exchange(hasBeenConfirmed_, true))
                 LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -21,8 +21,8 @@
     constexpr auto leavingPrimaryTime = 4s;
     // A connection beyond the first that rested for this long is closed.
     constexpr auto spareLinkTime = 800ms;
-    // A connection whose answer is overdue is closed this long after its last use: the instance's own statements have no
-    // time limit of a route.
+    // A connection whose answer is overdue is closed this long after its last use: the instance's own statements have
+    // no time limit of a route.
     constexpr auto answerGrace = 500ms;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
@@ -91,6 +91,29 @@
     }
 }
 
+void StatementGateway::addSample(const GroupId& id, const PositionSample& sample)
+{
+    sampled(groupOf(id), sample);
+}
+
+bool StatementGateway::isScarceFor(const GroupId& id) const
+{
+    const auto* rules = catalog_ ? findGroup(*catalog_, id) : nullptr;
+    return rules && isScarce(rules->connectionLimit_, instances_);
+}
+
+// The replica that this instance keeps a connection to while connections are scarce; null when there is none.
+const StatementGateway::Endpoint* StatementGateway::preferred(const Group& group) const
+{
+    std::vector<const Endpoint*> replicas;
+    const auto* first = primary(group);
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (endpoint->record_.group_ == group.id_ && endpoint.get() != first && isUsable(*endpoint))
+            replicas.push_back(endpoint.get());
+    }
+    return replicas.empty() ? nullptr : replicas[preferredReplica(rank_, replicas.size())];
+}
+
 void StatementGateway::setShare(std::size_t instances, std::size_t rank)
 {
     instances_ = std::max<std::size_t>(instances, 1);
@@ -212,12 +235,15 @@
     if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
     const bool wantsReads = group.readQueue_.waiting_ > 0;
+    const bool scarce = isScarceFor(group.id_);
+    const auto* kept = scarce ? preferred(group) : nullptr;
     for (auto& [id, endpoint] : endpoints_) {
         if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint))
             continue;
         // Each endpoint gets its first connection early, so that reads find a choice.
-        const bool isFirst = endpoint->links_.empty();
-        if (isFirst || (wantsReads && wantsLink(*endpoint) && endpoint.get() != first))
+        const bool isOpenTo = !scarce || endpoint.get() == kept || !kept || isFailing(kept->load_);
+        const bool isFirst = endpoint->links_.empty() && isOpenTo && (!scarce || endpoint.get() != first);
+        if (isFirst || (wantsReads && isOpenTo && wantsLink(*endpoint) && endpoint.get() != first))
             openLink(*endpoint);
     }
 }
@@ -320,7 +346,7 @@
 
 void StatementGateway::sampled(Group& group, const PositionSample& sample)
 {
-    addSample(group.samples_, sample, suspendAwareNow());
+    cassiahollow::addSample(group.samples_, sample, suspendAwareNow());
     const auto waiting = std::exchange(group.awaitSample_, {});
     for (const auto& job : waiting)
         enqueueJob(job);
@@ -357,7 +383,9 @@
         }
         std::erase_if(links, [](const EndpointLinkPtr& link) { return link->isClosed(); });
         // An endpoint that leaves gets no statements any more and needs no connection.
-        const std::size_t kept = isUsable(*endpoint) ? 1 : 0;
+        const auto& group = groupOf(endpoint->record_.group_);
+        const bool isKept = isUsable(*endpoint) && (!isScarceFor(group.id_) || endpoint.get() == preferred(group));
+        const std::size_t kept = isKept ? 1 : 0;
         for (std::size_t i = links.size(); i > kept; --i) {
             const auto link = links[i - 1];
             if (!link->isReady() || link->taken_ || now - link->used_ < spareLinkTime)
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -14,6 +14,8 @@
     constexpr int maximumAttempts = 4;
     // Reads keep the newest sample this young, so that each has an old enough floor to choose from.
     constexpr auto sampleInterval = 250ms;
+    // While connections are scarce, control members take the samples; without them this instance takes its own.
+    constexpr auto sharedSampleInterval = 1200ms;
     // A session reads its own commit this long after it at the earliest: a round trip and a pause.
     constexpr auto ownCommitAge = 10ms;
 
@@ -60,7 +62,7 @@
     const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
     if (!job->needsPrimary_) {
         const auto newest = newestSample(group.samples_);
-        if (!newest || now - newest->asked_ > sampleInterval)
+        if (!newest || now - newest->asked_ > (isScarceFor(job->group_) ? sharedSampleInterval : sampleInterval))
             requestSample(group);
         job->floor_ = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
         if (!job->floor_) {
@@ -194,12 +196,14 @@
     const Group& group, const Job& job, std::vector<Endpoint*>& choices)
 {
     const auto* first = primary(group);
+    const auto* kept = isScarceFor(group.id_) ? preferred(group) : nullptr;
     std::vector<PlacementCandidate> candidates;
     for (auto& [id, endpoint] : endpoints_) {
         if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint) || isFailing(endpoint->load_))
             continue;
         candidates.push_back({ choices.size(), &endpoint->load_, endpoint->record_.slots_, endpoint.get() == first,
-            endpoint->record_.dataCentre_ == options_.dataCentre_, job.tried_.contains(id) });
+            endpoint->record_.dataCentre_ == options_.dataCentre_, job.tried_.contains(id),
+            !kept || endpoint.get() == kept });
         choices.push_back(endpoint.get());
     }
     return candidates;
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -43,6 +43,9 @@
     void setEndpoints(const std::vector<EndpointRecord>&);
     void setShare(std::size_t instances, std::size_t rank);
 
+    /// A sample that somebody else took, dated by this instance's clock.
+    void addSample(const GroupId&, const PositionSample&);
+
     /// What this instance has seen of the endpoints that it used lately.
     std::vector<EndpointReport> reports() const;
     /// Called when an endpoint begins to fail.
@@ -121,6 +124,8 @@
     const Endpoint* primary(const Group&) const;
     Endpoint* find(const EndpointId&);
     bool isUsable(const Endpoint&) const;
+    bool isScarceFor(const GroupId&) const;
+    const Endpoint* preferred(const Group&) const;
     void openLink(Endpoint&);
     void openWanted(Group&);
     EndpointLinkPtr idleLink(Endpoint&, const Job&);
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -31,6 +31,14 @@
     std::vector<EndpointReport> reports_;
 };
 
+/// A position of a group's primary and how long ago it was asked for. Only the one who asked for the answer that
+/// carries it can date it: its age there is at most that since the question, and this one.
+struct GroupSample {
+    GroupId group_;
+    LogPosition position_;
+    Duration age_ { 0 };
+};
+
 struct FeedAnswer {
     std::uint64_t number_ { 0 }; ///< 0: not asked for.
     bool confirmed_ { false }; ///< The member was in contact with a majority of control members just before.
@@ -42,6 +50,7 @@
     std::vector<InstanceId> members_; ///< The control members.
     std::size_t instances_ { 0 }; ///< Entry instances that asked lately.
     std::size_t rank_ { 0 }; ///< The place of the asker among them.
+    std::vector<GroupSample> samples_; ///< Of groups whose connections are scarce.
 };
 
 /// Between control members: records of endpoints, and a sign of life.
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -71,6 +71,7 @@
     bool isPrimary_ { false };
     bool isNear_ { false }; ///< In the instance's data centre.
     bool wasTried_ { false }; ///< It has refused this statement.
+    bool isPreferred_ { true }; ///< While connections are scarce, those to other replicas are left to other instances.
 };
 
 /// What a read costs at the primary beyond its time: the time that writes, which can go nowhere else, wait for it.
@@ -120,8 +121,17 @@
 /// worked off, and not before the group has a primary again.
 std::chrono::milliseconds comeBackAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary);
 
+/// Whether the instances cannot all hold a connection to one endpoint. Answers the load pattern "more instances than
+/// connections": then connections to primaries are opened when they are needed and closed soon, positions are sampled
+/// by control members, and each instance prefers one replica of a group.
+bool isScarce(std::size_t limit, std::size_t instances);
+
+/// The replica that an instance of this rank prefers while connections are scarce.
+std::size_t preferredReplica(std::size_t rank, std::size_t replicas);
+
 /// How many connections an instance may hold to one endpoint: an equal share, the remainder to the first in rank, and
-/// one at least.
+/// one at least. While connections are scarce it may hold scarceConnections, because most instances hold none.
+inline constexpr std::size_t scarceConnections = 2;
 std::size_t connectionShare(std::size_t limit, std::size_t instances, std::size_t rank);
 
 } // namespace cassiahollow
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -108,6 +108,26 @@
         return reports;
     }
 
+    json toJson(const std::vector<GroupSample>& samples)
+    {
+        auto out = json::array();
+        for (const auto& sample : samples) {
+            out.push_back(json::array(
+                { sample.group_.value_, sample.position_.term_, sample.position_.index_, toAge(sample.age_) }));
+        }
+        return out;
+    }
+
+    std::vector<GroupSample> samplesFrom(const json& in)
+    {
+        std::vector<GroupSample> samples;
+        for (const auto& sample : in) {
+            samples.push_back({ GroupId(sample.at(0).get<std::string>()),
+                { sample.at(1).get<std::uint64_t>(), sample.at(2).get<std::uint64_t>() }, fromAge(sample.at(3)) });
+        }
+        return samples;
+    }
+
     json toJson(const FeedRequest& message, TimePoint)
     {
         return json::array({ KindFeedRequest, message.number_, message.catalogVersion_, message.registryMark_,
@@ -121,7 +141,7 @@
                 json::binary({ message.catalog_->document_.begin(), message.catalog_->document_.end() }) })
                              : json(),
             message.registryMark_, message.records_ ? toJson(*message.records_, now) : json(), message.leader_.value_,
-            toJson(message.members_), message.instances_, message.rank_ });
+            toJson(message.members_), message.instances_, message.rank_, toJson(message.samples_) });
     }
 
     json toJson(const RegistryUpdate& message, TimePoint now)
@@ -159,6 +179,7 @@
         answer.members_ = instancesFrom(in.at(8));
         answer.instances_ = in.at(9).get<std::size_t>();
         answer.rank_ = in.at(10).get<std::size_t>();
+        answer.samples_ = samplesFrom(in.at(11));
         return answer;
     }
 
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -110,6 +110,7 @@
         seconds += candidate.isNear_ ? 0 : distancePenaltySeconds;
         // Each of these goes before any difference in time, the last ones before the first.
         const bool isBehind = !candidate.isPrimary_ && expectedLag(load, now) > floorAge;
+        seconds += candidate.isPreferred_ || candidate.isPrimary_ ? 0 : 5;
         seconds += isBehind ? 10 : 0;
         seconds += now < load.avoidUntil_ ? 20 : 0;
         seconds += candidate.wasTried_ ? 40 : 0;
@@ -148,8 +149,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(bounded));
 }
 
+bool isScarce(std::size_t limit, std::size_t instances)
+{
+    return limit < instances + reservedConnections;
+}
+
+std::size_t preferredReplica(std::size_t rank, std::size_t replicas)
+{
+    return replicas == 0 ? 0 : rank % replicas;
+}
+
 std::size_t connectionShare(std::size_t limit, std::size_t instances, std::size_t rank)
 {
+    if (isScarce(limit, instances))
+        return scarceConnections;
     const std::size_t usable = limit > reservedConnections ? limit - reservedConnections : 1;
     const std::size_t holders = std::max<std::size_t>(instances, 1);
     return std::max<std::size_t>(1, usable / holders + (rank < usable % holders ? 1 : 0));
