--- a/daemon/process/Serve.cpp
+++ b/daemon/process/Serve.cpp
@@ -1,5 +1,6 @@
 #include "process/Commands.h"
 #include "process/Log.h"
+#include "process/NodeSettings.h"
 #include "process/ServeProcess.h"
 #include "process/ServeTask.h"
 
@@ -51,6 +52,15 @@
 
 int runCheck(const std::string& fileName)
 {
+    // A node's file has one of the two listeners that a process of the other kind does not know.
+    const auto node = loadNodeSettings(fileName);
+    if (!node.settings_.statements_.empty() || (!node.settings_.operators_.empty() && !node.settings_.seeds_.empty())) {
+        std::cerr << describeErrors(fileName, node.errors_);
+        if (!node.errors_.empty())
+            return ExitUsage;
+        std::cout << fileName << ": no errors\n";
+        return ExitDone;
+    }
     if (!load(fileName))
         return ExitUsage;
     std::cout << fileName << ": no errors\n";
