Test the roles of the line protocol as real processes

Promotion of a dark and of a leaving primary with growing fences, configurations over the loss of each control member and of all at once, a member without a majority, and a stop in a transaction.

--- /dev/null
+++ b/tests/integration/NodeTest.cpp
@@ -0,0 +1,129 @@
+#include "support/NodeDeployment.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cassiahollow;
+using namespace cassiahollow::testing;
+using namespace std::chrono_literals;
+
+// The roles of the line protocol as real processes.
+
+namespace {
+
+bool waitFor(const std::function<bool()>& holds, std::chrono::milliseconds limit)
+{
+    for (const auto end = Clock::now() + limit; Clock::now() < end; std::this_thread::sleep_for(20ms)) {
+        if (holds())
+            return true;
+    }
+    return false;
+}
+
+bool isDone(const ClientAnswer& answer)
+{
+    return answer.error_.empty() && !answer.signature_.empty();
+}
+
+/// Writes until it succeeds, on a new session each time, as a client that reconnects.
+bool writesWithin(
+    NodeDeployment& deployment, std::size_t entry, const std::string& database, std::chrono::milliseconds limit)
+{
+    return waitFor(
+        [&] {
+            LineClient client(deployment.entries()[entry].address_);
+            return client.start(database).mark_ == 'I' && isDone(client.query("WRITE item x"));
+        },
+        limit);
+}
+
+} // namespace
+
+// Guards against a path that works only in parts: heartbeat, configuration, feed, statement, promotion, drain.
+TEST_CASE("statements are served, and a dark primary is replaced with a growing fence")
+{
+    NodeDeployment deployment(3, 2);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    REQUIRE(writesWithin(deployment, 1, "receipts", 5s));
+
+    deployment.darken(0);
+    // A change of primary is over within 16 s at the target sizes.
+    CHECK(writesWithin(deployment, 0, "receipts", 16s));
+    const auto promotions = deployment.promotions();
+    REQUIRE_FALSE(promotions.empty());
+    for (std::size_t i = 1; i < promotions.size(); ++i)
+        CHECK(promotions[i].fence_ > promotions[i - 1].fence_);
+
+    const auto leader = deployment.group().isPrimary(EndpointId("i-2")) ? 1 : 2;
+    deployment.setLeaving(static_cast<std::size_t>(leader));
+    CHECK(waitFor([&] { return deployment.promotions().size() > promotions.size(); }, 10s));
+    CHECK(writesWithin(deployment, 1, "receipts", 5s));
+}
+
+// Guards against a configuration that is acknowledged and then lost, goes back, or is not in force.
+TEST_CASE("an acknowledged configuration survives the loss of each control member and of all at once")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    std::uint64_t version = 1;
+    for (auto& control : deployment.controls()) {
+        control.process_->kill();
+        // A proper order is acknowledged within 5 s while a majority runs.
+        const auto added = "audits" + std::to_string(++version);
+        REQUIRE(deployment.configure(version, { "receipts", added }, 5s));
+        CHECK(writesWithin(deployment, 0, added, 3s));
+        control.process_->restart();
+        REQUIRE(waitFor([&] { return deployment.versionAt(control) == version; }, 10s));
+    }
+    for (auto& control : deployment.controls())
+        control.process_->kill();
+    for (auto& control : deployment.controls())
+        control.process_->restart();
+    for (auto& control : deployment.controls())
+        CHECK(waitFor([&] { return deployment.versionAt(control) == version; }, 10s));
+    // An older one changes nothing.
+    CHECK(deployment.configure(1, { "receipts" }, 5s));
+    CHECK(deployment.versionAt(deployment.controls()[0]) == version);
+    CHECK(callNode("PUT", deployment.controls()[0].address_, "/api/config", "{\"Version\":99").status_ == 400);
+}
+
+// Guards against a control member that is cut off and answers from what it last knew.
+TEST_CASE("a control member without a majority reads nothing back")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    deployment.controls()[0].process_->stop();
+    deployment.controls()[1].process_->stop();
+    std::this_thread::sleep_for(1500ms);
+    CHECK(callNode("GET", deployment.controls()[2].address_, "/api/config", {}, 2s).status_ == 503);
+    CHECK(
+        callNode("PUT", deployment.controls()[2].address_, "/api/instances/i-9",
+            R"({"Service":"returns","Address":"127.0.0.1:9","Zone":"a","Slots":1,"State":"ready","DbRole":"replica","Seq":1})")
+            .status_
+        == 503);
+    deployment.controls()[0].process_->resume();
+    deployment.controls()[1].process_->resume();
+    CHECK(waitFor([&] { return deployment.versionAt(deployment.controls()[2]) == 1; }, 10s));
+}
+
+// Guards against a stop that cuts off a transaction or takes too long.
+TEST_CASE("an entry instance that is told to stop lets its transactions end and exits in time")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    auto& entry = deployment.entries()[0];
+    LineClient client(entry.address_);
+    REQUIRE(client.start("receipts").mark_ == 'I');
+    REQUIRE(isDone(client.query("BEGIN")));
+    REQUIRE(isDone(client.query("WRITE item kept")));
+    entry.process_->terminate();
+    CHECK(waitFor([&] { return callNode("GET", entry.readiness_, "/api/ready").status_ == 503; }, 1s));
+    CHECK(isDone(client.query("COMMIT")));
+    CHECK(waitFor([&] { return !entry.process_->isRunning(); }, 4s));
+    CHECK(entry.process_->exitStatus() == 0);
+    CHECK(deployment.group().commits().back().items_.count("item") == 1);
+}
