Decide a change within a second of the leader's loss

Cause: a member forwarded a change to the leader that it knew and waited 3 s for it; an instance asked one member for 1.5 s; two members that proposed at the same time split the votes and waited a whole time-out. Forwarded requests now go to the next leader, an instance asks the next member after 150 ms, of two proposals one gives way, and a refused proposal is repeated soon. Ruled out: a lost message (the case failed without any).

--- a/daemon/version/ControlClient.cpp
+++ b/daemon/version/ControlClient.cpp
@@ -7,8 +7,9 @@
 namespace {
 
     constexpr std::chrono::seconds requestTime { 10 };
-    // Longer than an election, so that a member without a leader can find one before the next member is asked.
-    constexpr std::chrono::milliseconds tryTime { 1500 };
+    // Short against an election, so that the next leader is asked soon after it leads; the key of a change makes
+    // repeated questions safe.
+    constexpr std::chrono::milliseconds tryTime { 150 };
 
 } // namespace
 
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -223,12 +223,11 @@
 
 struct ControlLogOptions {
     /// An election starts after a silence between this and twice this; after a start, before any leader is known,
-    /// between a quarter of this and this, because all members may have started together. A leader that has not heard
-    /// from a majority for this long steps down.
-    Duration electionTimeout_ { std::chrono::milliseconds(500) };
+    /// between a third of this and twice that. A leader that has not heard from a majority for this long steps down.
+    Duration electionTimeout_ { std::chrono::milliseconds(400) };
     /// Three heartbeats fit into an election timeout, so that one lost message starts no election. With seven members,
-    /// the leader sends about 8 KB/s of them.
-    Duration heartbeatInterval_ { std::chrono::milliseconds(150) };
+    /// the leader sends about 9 KB/s of them.
+    Duration heartbeatInterval_ { std::chrono::milliseconds(130) };
     /// A forwarded request without an answer is Unknown after this time.
     Duration requestTimeout_ { std::chrono::seconds(3) };
     Duration helloInterval_ { std::chrono::milliseconds(500) };
@@ -274,6 +273,7 @@
 };
 
 struct ForwardedRequest {
+    ControlRequest request_; ///< Sent again when another member leads; its key makes that safe.
     std::uint64_t token_ { 0 };
     TimePoint deadline_;
     bool isRead_ { false };
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -112,14 +112,19 @@
             || (state.hasHeardLeader_ && step.now_ - state.leaderHeard_ < state.options_.electionTimeout_);
     }
 
+    // A time between `shortest` and twice that from now.
+    void setElectionDeadline(Step& step, Duration shortest)
+    {
+        std::uniform_int_distribution<Duration::rep> extra(0, shortest.count());
+        step.state_.electionDeadline_ = step.now_ + shortest + Duration(extra(step.state_.random_));
+    }
+
     void resetElection(Step& step)
     {
-        auto& state = step.state_;
-        const auto timeout = state.options_.electionTimeout_;
-        const auto shortest = state.hasKnownLeader_ ? timeout : timeout / 4;
-        std::uniform_int_distribution<Duration::rep> extra(
-            0, state.hasKnownLeader_ ? timeout.count() : (timeout - shortest).count());
-        state.electionDeadline_ = step.now_ + shortest + Duration(extra(state.random_));
+        const auto& state = step.state_;
+        // All members may have started together, so none has to be left time to be heard.
+        setElectionDeadline(
+            step, state.hasKnownLeader_ ? state.options_.electionTimeout_ : state.options_.electionTimeout_ / 3);
     }
 
     void refreshConfiguration(Step& step)
@@ -452,7 +457,8 @@
         state.leader_.reset();
         state.hasHeardLeader_ = false;
         state.votes_ = { state.identity_ };
-        resetElection(step);
+        // A proposal changes nothing, so it is repeated soon: the others may have heard the leader a moment later.
+        setElectionDeadline(step, state.options_.electionTimeout_ / (role == ControlRole::PreCandidate ? 4 : 2));
         if (role == ControlRole::Candidate)
             persist(step, { .promise_ = ControlPromise { state.stored_.promise_.term_ + 1, state.identity_ } });
         for (const auto& member : state.configuration_->members_) {
@@ -633,6 +639,8 @@
             broadcast(step);
     }
 
+    void leadForwarded(Step&);
+
     void handle(Step& step, const ControlTick&)
     {
         auto& state = step.state_;
@@ -646,6 +654,8 @@
             return true;
         });
         sayHello(step);
+        if (isLeader(state) && !state.forwarded_.empty())
+            leadForwarded(step);
         if (isLeader(state))
             leaderTick(step);
         else if (state.configuration_ && isVoter(*state.configuration_, state.identity_)
@@ -731,6 +741,14 @@
             [] { return false; });
     }
 
+    // A member that has become the leader decides itself what it had forwarded.
+    void leadForwarded(Step& step)
+    {
+        const auto forwarded = std::exchange(step.state_.forwarded_, {});
+        for (const auto& [number, request] : forwarded)
+            lead(step, { {}, request.token_ }, request.request_);
+    }
+
     void handle(Step& step, const LocalRequest& request)
     {
         auto& state = step.state_;
@@ -744,7 +762,7 @@
                 step, origin, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, "no leader is known here"));
         }
         const auto number = state.nextNumber_++;
-        state.forwarded_[number] = { request.token_, step.now_ + state.options_.requestTimeout_,
+        state.forwarded_[number] = { request.request_, request.token_, step.now_ + state.options_.requestTimeout_,
             std::holds_alternative<ControlRead>(request.request_) };
         send(step, state.leader_->instance_, {}, RequestMessage { number, request.request_ });
     }
@@ -768,6 +786,9 @@
         const auto request = forwarded.find(received.number_);
         if (request == forwarded.end())
             return; // Repeated, or later than the request's deadline.
+        // A member that has ceased to lead decides nothing; the next leader is asked when it is known.
+        if (received.outcome_.reason_ == Reason::NotLeader && step.now_ < request->second.deadline_)
+            return;
         auto outcome = request->second.isRead_ ? received.outcome_ : forwardedOutcome(received.outcome_);
         const auto token = request->second.token_;
         forwarded.erase(request);
@@ -788,9 +809,14 @@
 
     void receive(Step& step, const ControlMessage& message, const PreVoteRequest& request)
     {
-        const auto& state = step.state_;
+        auto& state = step.state_;
         const bool granted = !followsLeader(step) && message.term_ > state.stored_.promise_.term_
             && request.last_ >= lastPosition(state.stored_);
+        // Of two members that propose at the same time, one gives way, so that they do not split the votes.
+        if (granted && state.role_ == ControlRole::PreCandidate && message.senderIdentity_ < state.identity_) {
+            state.role_ = ControlRole::Follower;
+            setElectionDeadline(step, state.options_.electionTimeout_ / 2);
+        }
         reply(step, message, PreVoteAnswer { granted });
         // A granted answer carries the proposed term, which tells it apart from answers to earlier proposals.
         if (granted)
@@ -842,6 +868,14 @@
         countVotes(step);
     }
 
+    // What was forwarded to an earlier leader may have been lost with it.
+    void forwardAgain(Step& step)
+    {
+        const auto& state = step.state_;
+        for (const auto& [number, request] : state.forwarded_)
+            send(step, state.leader_->instance_, {}, RequestMessage { number, request.request_ });
+    }
+
     // Accepts the sender as the leader of its term. Answers and returns false when the term is over.
     bool follow(Step& step, const ControlMessage& message, std::uint64_t round)
     {
@@ -851,7 +885,10 @@
             return false;
         }
         becomeFollower(step, message.term_);
+        const bool isNew = !state.leader_ || state.leader_->identity_ != message.senderIdentity_;
         state.leader_ = ControlMember { message.sender_, message.senderIdentity_, true };
+        if (isNew)
+            forwardAgain(step);
         state.leaderHeard_ = step.now_;
         state.hasHeardLeader_ = true;
         state.hasKnownLeader_ = true;
--- a/tests/ControlCatalogTest.cpp
+++ b/tests/ControlCatalogTest.cpp
@@ -38,6 +38,8 @@
     ControlLogOptions options_;
     std::vector<InstanceId> listed_ { InstanceId("a"), InstanceId("b"), InstanceId("c") };
     int starts_ { 0 };
+    std::vector<SendAction> mail_;
+    std::vector<AnswerAction> answers_;
 
     Members() { options_.admitsUnknown_ = true; }
 
@@ -50,17 +52,29 @@
             {}, options, static_cast<std::uint64_t>(number), now_);
     }
 
+    void take(const std::vector<ControlAction>& actions)
+    {
+        for (const auto& action : actions) {
+            if (const auto* send = std::get_if<SendAction>(&action))
+                mail_.push_back(*send);
+            else if (const auto* answer = std::get_if<AnswerAction>(&action))
+                answers_.push_back(*answer);
+        }
+    }
+
+    std::string leader() const
+    {
+        for (const auto& [name, log] : logs_) {
+            if (log.role_ == ControlRole::Leader && !silent_.contains(name))
+                return name.value_;
+        }
+        return {};
+    }
+
     void run(Duration time)
     {
-        std::vector<SendAction> mail;
-        const auto take = [&](const std::vector<ControlAction>& actions) {
-            for (const auto& action : actions) {
-                if (const auto* send = std::get_if<SendAction>(&action))
-                    mail.push_back(*send);
-            }
-        };
         for (const auto end = now_ + time; now_ < end; now_ += 10ms) {
-            const auto arrived = std::exchange(mail, {});
+            const auto arrived = std::exchange(mail_, {});
             for (const auto& message : arrived) {
                 const auto recipient = logs_.find(message.recipient_);
                 if (recipient != logs_.end() && !silent_.contains(message.recipient_)
@@ -265,3 +279,28 @@
         CHECK_FALSE(members.voters().empty());
     }
 }
+
+// Guards against a change that waits for a frozen leader until its time is over: the next leader decides it, within the
+// longest election and a few heartbeats.
+TEST_CASE("a change that was forwarded to a leader that freezes is decided by the next one")
+{
+    for (int seed = 0; seed < 20; ++seed) {
+        INFO("seed " << seed);
+        Members members;
+        members.starts_ = seed * 10;
+        for (const auto* name : { "a", "b", "c" })
+            members.start(name, true);
+        members.run(3s);
+        const auto leader = members.leader();
+        REQUIRE_FALSE(leader.empty());
+        const InstanceId asked(leader == "a" ? "b" : "a");
+        members.silent_.insert(InstanceId(leader));
+        members.answers_.clear();
+        members.take(step(members.logs_.at(asked), LocalRequest { 7, catalogChange(5, "five") }, members.now_));
+        // At rest the next change is decided within a second of the leader's loss.
+        members.run(1s);
+        REQUIRE(members.answers_.size() == 1);
+        CHECK(members.answers_[0].outcome_.outcome_ == Outcome::Done);
+        CHECK(members.logs_.at(asked).control_.catalog_.version_ == 5);
+    }
+}
