--- a/fuzz/Decoders.cpp
+++ b/fuzz/Decoders.cpp
@@ -1,5 +1,7 @@
 #include "Decoders.h"
 
+#include "PlatformDecoders.h"
+
 #include "cassiahollow/connection/EndpointProtocol.h"
 #include "cassiahollow/process/MembershipCodec.h"
 #include "cassiahollow/process/PeerMessage.h"
@@ -468,7 +470,7 @@
     PersistAction record { .truncateFrom_ = 1, .entries_ = entrySeeds(), .promise_ = ControlPromise { 4, "b-1" } };
     PersistAction promise { .promise_ = ControlPromise { 5, "" } };
     ControlSnapshot small { { 1, 1 }, { "y", { { InstanceId("c"), "c-1", true } } }, {} };
-    return {
+    std::vector<Decoder> decoders {
         { "peer-message", roundTrip(peer, encodePeer), envelopeSeeds() },
         { "signed-peer-message", roundTrip(signedPeer, encodePeer, peer), withoutCode(envelopeSeeds()) },
         { "forward", roundTrip(decodeForward, encodeForward), forwardSeeds() },
@@ -497,6 +499,9 @@
         { "process-settings", [file](const std::string& bytes) { return checkProcessSettings(*file, bytes); },
             processSettingsSeeds() },
     };
+    for (auto& decoder : platformDecoders())
+        decoders.push_back(std::move(decoder));
+    return decoders;
 }
 
 Verdict checkInput(const Decoder& decoder, const std::string& bytes)
--- /dev/null
+++ b/fuzz/PlatformDecoders.cpp
@@ -0,0 +1,161 @@
+#include "PlatformDecoders.h"
+
+#include "Documents.h"
+#include "LineProtocol.h"
+#include "cassiahollow/process/DirectoryFeed.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace cassiahollow::fuzz {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+    const TimePoint now { std::chrono::hours(1) };
+
+    Verdict fault(std::string what)
+    {
+        return { false, std::move(what) };
+    }
+
+    /// Runs a decoder that returns a result. `check` names the broken rule of an accepted value, or nothing.
+    template <typename Decode, typename Check> Verdict decoded(Decode decode, Check check)
+    {
+        return leaf::try_handle_all(
+            [&]() -> leaf::result<Verdict> {
+                BOOST_LEAF_AUTO(value, decode());
+                const std::string broken = check(value);
+                return Verdict { broken.empty(), broken };
+            },
+            [](const Failure& failure) {
+                return failure.reason_ < Reason::Count ? Verdict {} : fault("a refusal has no reason");
+            },
+            [] { return fault("a refusal carries no Failure"); });
+    }
+
+    Verdict checkDirectory(const std::string& bytes)
+    {
+        return decoded([&] { return decodeDirectoryMessage(bytes, now); },
+            [&](const DirectoryMessage& message) -> std::string {
+                const auto again = encodeDirectoryMessage(message, now);
+                bool isSame = false;
+                decoded([&] { return decodeDirectoryMessage(again, now); },
+                    [&](const DirectoryMessage& second) -> std::string {
+                        isSame = encodeDirectoryMessage(second, now) == again;
+                        return {};
+                    });
+                return isSame ? "" : "a directory message changes when it is passed on";
+            });
+    }
+
+    Verdict checkCatalogDocument(const std::string& bytes)
+    {
+        return decoded([&] { return platform::decodeCatalog(bytes); },
+            [](const RouteCatalog& catalog) -> std::string {
+                decoded(
+                    [&]() -> leaf::result<int> {
+                        BOOST_LEAF_CHECK(checkCatalog(catalog));
+                        return 0;
+                    },
+                    [](int) -> std::string { return {}; });
+                return {};
+            });
+    }
+
+    Verdict checkHeartbeat(const std::string& bytes)
+    {
+        return decoded([&] { return platform::decodeHeartbeat("i-1", bytes, now); },
+            [](const EndpointRecord& record) -> std::string {
+                return record.group_.empty() || record.slots_ == 0 ? "a heartbeat without group or slots is used" : "";
+            });
+    }
+
+    Verdict checkClientLine(const std::string& bytes)
+    {
+        const auto message = platform::decodeClientLine(bytes);
+        if (std::holds_alternative<platform::ClientMalformed>(message))
+            return {};
+        if (const auto* query = std::get_if<platform::ClientQuery>(&message)) {
+            if (query->id_.empty() || query->id_ == "-")
+                return fault("a client speaks with the instance's own id");
+            if (!bytes.ends_with(query->statement_.text_))
+                return fault("the text of a statement is changed");
+            return { query->statement_.kind_ != StatementKind::Malformed, {} };
+        }
+        return { true, {} };
+    }
+
+    Verdict checkEndpointLine(const std::string& bytes)
+    {
+        const auto message = platform::decodeEndpointLine(bytes);
+        if (const auto* error = std::get_if<platform::EndpointError>(&message)) {
+            const bool isKnown = platform::encodeError(error->error_, "").starts_with("ERROR " + error->word_);
+            if (!isKnown && isPromise(error->error_))
+                return fault("an unknown code became a promise");
+        }
+        return { !std::holds_alternative<platform::EndpointMalformed>(message), {} };
+    }
+
+    Verdict checkStatusRow(const std::string& bytes)
+    {
+        return { platform::decodeStatus(bytes).has_value(), {} };
+    }
+
+    EndpointRecord recordSeed()
+    {
+        EndpointRecord record;
+        record.id_ = EndpointId("i-1");
+        record.group_ = GroupId("returns");
+        record.address_ = "10.0.0.1:80";
+        record.heard_ = now;
+        record.roleSince_ = now;
+        return record;
+    }
+
+    std::vector<std::string> directorySeeds()
+    {
+        FeedAnswer answer;
+        answer.catalog_ = std::make_shared<const CatalogDocument>(CatalogDocument { 3, "{}" });
+        answer.records_ = { recordSeed() };
+        answer.members_ = { InstanceId("a") };
+        answer.samples_ = { { GroupId("returns"), { 1, 2 }, std::chrono::milliseconds(5) } };
+        return { encodeDirectoryMessage(answer, now),
+            encodeDirectoryMessage(FeedRequest { 1, 2, "m", true, false, { { EndpointId("i-1") } } }, now),
+            encodeDirectoryMessage(RegistryUpdate { { recordSeed() }, true, false, { InstanceId("b") } }, now),
+            encodeDirectoryMessage(ReportRelay { InstanceId("b"), { { EndpointId("i-1") } } }, now) };
+    }
+
+    std::vector<std::string> catalogSeeds()
+    {
+        return { R"({"Version":7,"Routes":[{"Name":"r","Host":"v","PathPrefix":"/","Type":"primary","TimeoutMs":800,)"
+                 R"("TargetLatencyMs":250,"Priority":2,"Service":"s","MaxStalenessMs":2500}],)"
+                 R"("Services":[{"Name":"s","MaxConns":82,"SyncReplicas":1}],"Limits":{"IdleTxMs":3000}})",
+            R"({"Version":1,"Routes":[],"Services":[]})" };
+    }
+
+    std::vector<std::string> heartbeatSeeds()
+    {
+        return { R"({"Service":"s","Address":"10.0.0.9:80","Zone":"a","Version":"v1","Slots":3,"State":"ready",)"
+                 R"("WarmupLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000})",
+            R"({"Service":"s","Address":"a:1","Zone":"a","Slots":1,"State":"draining","DbRole":"primary","Seq":1})" };
+    }
+
+} // namespace
+
+std::vector<Decoder> platformDecoders()
+{
+    return {
+        { "directory-message", checkDirectory, directorySeeds() },
+        { "platform-catalog", checkCatalogDocument, catalogSeeds() },
+        { "platform-heartbeat", checkHeartbeat, heartbeatSeeds() },
+        { "client-line", checkClientLine,
+            { "STARTUP verdicts u1", "QUERY 5c BEGIN READ", "QUERY 5c WRITE 1a4 data", "QUERY 5c PREPARE s1 WRITE q2c",
+                "QUERY 5c EXECUTE s1 1a4 data", "QUERY 5c SET a b", "TERMINATE" } },
+        { "endpoint-line", checkEndpointLine,
+            { "READY T 3.1209", "READY I -", "DATAROW qhz", "COMPLETE 7.1f3.c", "ERROR READONLY i-7f3a" } },
+        { "status-row", checkStatusRow, { "replica 3 3.1209 4 12 2 17", "primary 1 1.0 1 0 0 0" } },
+    };
+}
+
+} // namespace cassiahollow::fuzz
