--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -25,6 +25,8 @@
     constexpr auto spreadInterval = 1s;
     // An entry instance that has not asked for this long gets no pushes and does not count.
     constexpr auto instanceLifetime = 3s;
+    // Changes in quick succession reach an instance together, because the links of small instances are slow.
+    constexpr auto pushInterval = 150ms;
     // A member that is not heard for this long may have a connection that has gone silent.
     constexpr auto memberSilence = 1500ms;
     constexpr auto storageRetry = 500ms;
@@ -208,6 +210,7 @@
     if (document_ && document_->version_ >= message.catalog_->version_)
         return;
     document_ = message.catalog_;
+    packed_ = std::make_shared<const PackedCatalog>(packCatalog(*document_));
     LogLine(LogKind::Belief, "catalog_applied").with("version", document_->version_);
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
@@ -351,10 +354,20 @@
             return deleteEndpoint(connection, id);
     }
     if (request.path_ == "/metrics" && request.method_ == "GET")
-        return connection->reply({ 200, metrics_.render(), "text/plain" });
+        return replyMetrics(connection);
     connection->reply(statusReply(404));
 }
 
+void ControlHost::replyMetrics(const HttpConnectionPtr& connection)
+{
+    metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    metrics_.setGauge("applied_catalog_version", document_ ? static_cast<double>(document_->version_) : 0);
+    metrics_.setGauge("control_leads", status_.role_ == ControlRole::Leader ? 1 : 0);
+    metrics_.setGauge("entry_instances", static_cast<double>(entryInstances().size()));
+    metrics_.setGauge("known_endpoints", static_cast<double>(registry_.records_.size()));
+    connection->reply({ 200, metrics_.render(), "text/plain" });
+}
+
 void ControlHost::putCatalog(const HttpConnectionPtr& connection, const std::string& document)
 {
     std::uint64_t version = 0;
@@ -505,7 +518,7 @@
     answer.confirmed_ = inContact();
     answer.catalogVersion_ = document_ ? document_->version_ : 0;
     if (document_ && document_->version_ > instance.catalogVersion_)
-        answer.catalog_ = document_;
+        answer.catalog_ = packed_;
     answer.registryMark_ = registryMark();
     if (instance.registryMark_ != answer.registryMark_) {
         answer.records_.emplace();
@@ -523,11 +536,22 @@
 }
 
 void ControlHost::pushFeeds()
+{
+    for (auto& [id, instance] : instances_)
+        instance.isPushDue_ = true;
+    pushDueFeeds();
+}
+
+void ControlHost::pushDueFeeds()
 {
     const auto now = Clock::now();
     for (auto& [id, instance] : instances_) {
+        if (!instance.isPushDue_ || now - instance.pushed_ < pushInterval)
+            continue;
+        instance.isPushDue_ = false;
         if (now - instance.asked_ > instanceLifetime)
             continue;
+        instance.pushed_ = now;
         const auto answer = feedFor(id, instance);
         sendDirectory(id, answer);
         instance.registryMark_ = answer.registryMark_;
@@ -561,6 +585,7 @@
             sendDirectory(id, update);
         }
     }
+    pushDueFeeds();
     duty_.tick();
     if (catalog_)
         sampler_.tick(*catalog_, entryInstances().size());
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -72,6 +72,8 @@
         std::string registryMark_;
         std::uint64_t catalogVersion_ { 0 };
         bool takesRequests_ { true };
+        TimePoint pushed_;
+        bool isPushDue_ { false };
     };
     struct Member {
         TimePoint heard_;
@@ -96,6 +98,7 @@
     void receiveDirectory(const InstanceId& sender, const ReportRelay&);
 
     void handleCall(const HttpConnectionPtr&, const HttpRequest&);
+    void replyMetrics(const HttpConnectionPtr&);
     void putCatalog(const HttpConnectionPtr&, const std::string& document);
     void getCatalog(const HttpConnectionPtr&);
     void putHeartbeat(const HttpConnectionPtr&, const std::string& id, const std::string& body);
@@ -112,6 +115,7 @@
     void spread(std::vector<EndpointRecord>);
     void registryChanged();
     void pushFeeds();
+    void pushDueFeeds();
     FeedAnswer feedFor(const InstanceId&, EntryInstance&) const;
     std::string registryMark() const;
 
@@ -132,6 +136,7 @@
     std::unique_ptr<ControlTask> control_;
     ControlStatus status_;
     std::shared_ptr<const CatalogDocument> document_;
+    std::shared_ptr<const PackedCatalog> packed_; ///< Of document_.
     std::map<std::uint64_t, PendingCall> calls_;
     std::uint64_t nextToken_ { 1 };
     std::map<InstanceId, EntryInstance> instances_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -149,7 +149,8 @@
     if (answer.catalog_ && answer.catalog_->version_ > gateway_.catalogVersion()) {
         boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
-                BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(answer.catalog_->document_));
+                BOOST_LEAF_AUTO(document, unpackCatalog(*answer.catalog_));
+                BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(document.document_));
                 gateway_.setCatalog(std::make_shared<const RouteCatalog>(std::move(catalog)));
                 return {};
             },
@@ -171,10 +172,21 @@
     if (request.path_ == platform::readyPath)
         return connection->reply({ readiness() == Readiness::Ready ? 200 : 503, "{}" });
     if (request.path_ == "/metrics")
-        return connection->reply({ 200, metrics_.render(), "text/plain" });
+        return replyMetrics(connection);
     connection->reply({ 404, "{}" });
 }
 
+void GatewayTask::replyMetrics(const HttpConnectionPtr& connection)
+{
+    const auto sinceConfirmed = std::chrono::duration<double>(suspendAwareNow() - confirmed_).count();
+    metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    metrics_.setGauge("applied_catalog_version", static_cast<double>(gateway_.catalogVersion()));
+    metrics_.setGauge("control_confirmed_age_seconds", hasBeenConfirmed_ ? sinceConfirmed : -1);
+    metrics_.setGauge("client_sessions", static_cast<double>(gateway_.sessions()));
+    metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
+    connection->reply({ 200, metrics_.render(), "text/plain" });
+}
+
 Readiness GatewayTask::readiness() const
 {
     ReadinessView view;
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -49,6 +49,7 @@
     void ask();
     void askNow();
     void chooseMember();
+    void replyMetrics(const HttpConnectionPtr&);
     Readiness readiness() const;
     void updateReadiness();
     void finishShutdown();
--- a/fuzz/PlatformDecoders.cpp
+++ b/fuzz/PlatformDecoders.cpp
@@ -49,6 +49,15 @@
             });
     }
 
+    Verdict checkPackedCatalog(const std::string& bytes)
+    {
+        return decoded(
+            [&] {
+                return unpackCatalog({ 1, bytes });
+            },
+            [](const CatalogDocument&) -> std::string { return {}; });
+    }
+
     Verdict checkCatalogDocument(const std::string& bytes)
     {
         return decoded([&] { return platform::decodeCatalog(bytes); },
@@ -116,7 +125,7 @@
     std::vector<std::string> directorySeeds()
     {
         FeedAnswer answer;
-        answer.catalog_ = std::make_shared<const CatalogDocument>(CatalogDocument { 3, "{}" });
+        answer.catalog_ = std::make_shared<const PackedCatalog>(packCatalog({ 3, "{}" }));
         answer.records_ = { recordSeed() };
         answer.members_ = { InstanceId("a") };
         answer.samples_ = { { GroupId("returns"), { 1, 2 }, std::chrono::milliseconds(5) } };
@@ -147,6 +156,8 @@
 {
     return {
         { "directory-message", checkDirectory, directorySeeds() },
+        { "packed-catalog", checkPackedCatalog,
+            { packCatalog({ 1, "{}" }).bytes_, packCatalog({ 1, std::string(3000, 'x') }).bytes_ } },
         { "platform-catalog", checkCatalogDocument, catalogSeeds() },
         { "platform-heartbeat", checkHeartbeat, heartbeatSeeds() },
         { "client-line", checkClientLine,
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -39,11 +39,22 @@
     Duration age_ { 0 };
 };
 
+/// A catalog as it travels: documents repeat themselves, and the links of small instances are slow.
+struct PackedCatalog {
+    std::uint64_t version_ { 0 };
+    std::string bytes_;
+};
+
+/// Compresses a catalog. Slow for a large one: to be done once for each version.
+PackedCatalog packCatalog(const CatalogDocument&);
+/// Fails with MessageMalformed, also when the document would be unreasonably large.
+boost::leaf::result<CatalogDocument> unpackCatalog(const PackedCatalog&);
+
 struct FeedAnswer {
     std::uint64_t number_ { 0 }; ///< 0: not asked for.
     bool confirmed_ { false }; ///< The member was in contact with a majority of control members just before.
     std::uint64_t catalogVersion_ { 0 };
-    std::shared_ptr<const CatalogDocument> catalog_; ///< Null when the asker has it.
+    std::shared_ptr<const PackedCatalog> catalog_; ///< Null when the asker has it.
     std::string registryMark_; ///< Process and revision of the records.
     std::optional<std::vector<EndpointRecord>> records_; ///< All records, unless the asker's mark is this one.
     InstanceId leader_; ///< Empty when none is known.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
+#include <zlib.h>
 
 namespace cassiahollow {
 
@@ -16,6 +17,10 @@
 
     enum Kind : std::uint8_t { KindFeedRequest = 1, KindFeedAnswer, KindRegistryUpdate, KindReportRelay };
 
+    // A packed catalog begins with the size of its document.
+    constexpr std::size_t sizeBytes = 4;
+    // Above the longest catalog that the control log takes.
+    constexpr std::size_t maximumDocumentBytes = 1 << 20;
     // An age that stands for "never".
     constexpr std::int64_t noAge = -1;
 
@@ -138,7 +143,7 @@
     {
         return json::array({ KindFeedAnswer, message.number_, message.confirmed_, message.catalogVersion_,
             message.catalog_ ? json::array({ message.catalog_->version_,
-                json::binary({ message.catalog_->document_.begin(), message.catalog_->document_.end() }) })
+                json::binary({ message.catalog_->bytes_.begin(), message.catalog_->bytes_.end() }) })
                              : json(),
             message.registryMark_, message.records_ ? toJson(*message.records_, now) : json(), message.leader_.value_,
             toJson(message.members_), message.instances_, message.rank_, toJson(message.samples_) });
@@ -169,8 +174,8 @@
         answer.catalogVersion_ = in.at(3).get<std::uint64_t>();
         if (const auto& catalog = in.at(4); !catalog.is_null()) {
             const auto& bytes = catalog.at(1).get_binary();
-            answer.catalog_ = std::make_shared<const CatalogDocument>(
-                CatalogDocument { catalog.at(0).get<std::uint64_t>(), std::string(bytes.begin(), bytes.end()) });
+            answer.catalog_ = std::make_shared<const PackedCatalog>(
+                PackedCatalog { catalog.at(0).get<std::uint64_t>(), std::string(bytes.begin(), bytes.end()) });
         }
         answer.registryMark_ = in.at(5).get<std::string>();
         if (!in.at(6).is_null())
@@ -202,6 +207,38 @@
 
 } // namespace
 
+PackedCatalog packCatalog(const CatalogDocument& catalog)
+{
+    PackedCatalog packed { catalog.version_, {} };
+    auto size = compressBound(catalog.document_.size());
+    packed.bytes_.resize(sizeBytes + size);
+    for (std::size_t i = 0; i < sizeBytes; ++i)
+        packed.bytes_[i] = static_cast<char>(catalog.document_.size() >> (8 * i));
+    compress2(reinterpret_cast<Bytef*>(packed.bytes_.data() + sizeBytes), &size,
+        reinterpret_cast<const Bytef*>(catalog.document_.data()), catalog.document_.size(), Z_BEST_SPEED);
+    packed.bytes_.resize(sizeBytes + size);
+    return packed;
+}
+
+leaf::result<CatalogDocument> unpackCatalog(const PackedCatalog& packed)
+{
+    const auto malformed = [] { return leaf::new_error(Failure { Reason::MessageMalformed, "a packed catalog" }); };
+    if (packed.bytes_.size() < sizeBytes)
+        return malformed();
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < sizeBytes; ++i)
+        size |= static_cast<std::size_t>(static_cast<unsigned char>(packed.bytes_[i])) << (8 * i);
+    if (size > maximumDocumentBytes)
+        return malformed();
+    CatalogDocument catalog { packed.version_, std::string(size, '\0') };
+    auto unpacked = static_cast<uLongf>(size);
+    const auto status = uncompress(reinterpret_cast<Bytef*>(catalog.document_.data()), &unpacked,
+        reinterpret_cast<const Bytef*>(packed.bytes_.data() + sizeBytes), packed.bytes_.size() - sizeBytes);
+    if (status != Z_OK || unpacked != size)
+        return malformed();
+    return catalog;
+}
+
 std::string encodeDirectoryMessage(const DirectoryMessage& message, TimePoint now)
 {
     std::string bytes;
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -76,14 +76,19 @@
     answer.confirmed_ = true;
     answer.catalogVersion_ = 13;
     const std::string anyBytes("\x00\xff{\"", 4);
-    answer.catalog_ = std::make_shared<const CatalogDocument>(CatalogDocument { 13, anyBytes });
+    answer.catalog_ = std::make_shared<const PackedCatalog>(packCatalog({ 13, anyBytes }));
     answer.leader_ = InstanceId("l");
     answer.members_ = { InstanceId("l"), InstanceId("m") };
     answer.instances_ = 17;
     answer.rank_ = 4;
     const auto answered = std::get<FeedAnswer>(carried(answer));
     CHECK(answered.confirmed_);
-    CHECK(*answered.catalog_ == *answer.catalog_);
+    REQUIRE(answered.catalog_);
+    CHECK_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(document, unpackCatalog(*answered.catalog_));
+        CHECK(document == CatalogDocument { 13, anyBytes });
+        return {};
+    }));
     CHECK_FALSE(answered.records_);
     CHECK(answered.members_ == answer.members_);
     CHECK(answered.rank_ == 4);
@@ -104,3 +109,25 @@
         CHECK(failure->reason_ == Reason::MessageMalformed);
     }
 }
+
+// Guards against a large catalog that fills the links of small instances, and against damaged bytes that are unpacked.
+TEST_CASE("catalogs are packed to a fraction, and damaged ones are refused")
+{
+    std::string document = "{\"Routes\":[";
+    for (int i = 0; i < 350; ++i)
+        document += "{\"Name\":\"r-" + std::to_string(i * 7919) + "\",\"Host\":\"h" + std::to_string(i * 104729)
+            + "\",\"PathPrefix\":\"/\",\"Type\":\"read_your_writes\",\"TimeoutMs\":800,\"Service\":\"returns\"},";
+    const auto packed = packCatalog({ 4, document });
+    CHECK(packed.bytes_.size() * 4 < document.size());
+    const auto refused = [](const PackedCatalog& bytes) {
+        return failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(unpackCatalog(bytes));
+            return {};
+        });
+    };
+    CHECK_FALSE(refused(packed));
+    for (const std::size_t size :
+        { std::size_t(0), std::size_t(3), packed.bytes_.size() / 2, packed.bytes_.size() - 1 })
+        CHECK(refused({ 4, packed.bytes_.substr(0, size) }));
+    CHECK(refused({ 4, std::string("\xff\xff\xff\xff", 4) + packed.bytes_.substr(4) }));
+}
