Split the end of a statement by its outcome, and refuse a commit that was never sent

Cause, found by reading: a commit whose connection had ended before it could be sent was answered as in doubt, so its client could not try again. It is now a promise that nothing is kept.

--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -40,7 +40,7 @@
     job->link_ = session->link_;
     auto* endpoint = find(session->link_->endpoint());
     if (session->link_->isClosed() || !endpoint)
-        return lost(job);
+        return lost(job, false);
     ++endpoint->load_.inFlight_;
     ++job->outstanding_;
     job->sent_ = suspendAwareNow();
@@ -336,44 +336,59 @@
             return;
     }
     if (!reply)
-        return lost(job);
-    if (failed) {
-        const auto error = reply->error_ ? reply->error_->error_ : StatementError::NotPrimary;
-        LogLine(LogKind::Refusal, "endpoint_error")
-            .with("request", job->id_)
-            .with("endpoint", link->endpoint().value_)
-            .with("code", reply->error_ ? reply->error_->word_ : "begin_refused")
-            .with("attempt", static_cast<std::uint64_t>(job->attempts_));
-        metrics_.count(Reason::StatementFailed);
-        jobDone(job);
-        if (job->kind_ == StatementKind::Commit) {
-            if (ownsTransaction)
-                release(session, reply->mark_ != platform::SessionMark::Idle);
-            sql.transaction_ = TransactionState::None;
-        }
-        session->busy_ = false;
-        refuse(session, error, reply->error_ ? std::string_view(reply->error_->text_) : std::string_view());
-        finishOperation(session);
-        session->channel_->offer();
-        return;
+        return lost(job, true);
+    return failed ? answerFailure(job, link, *reply) : answerSuccess(job, link, *reply, provedLead);
+}
+
+void StatementGateway::answerFailure(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply& reply)
+{
+    const auto& session = job->session_;
+    const auto error = reply.error_ ? reply.error_->error_ : StatementError::NotPrimary;
+    LogLine(LogKind::Refusal, "endpoint_error")
+        .with("request", job->id_)
+        .with("endpoint", link->endpoint().value_)
+        .with("code", reply.error_ ? reply.error_->word_ : "begin_refused")
+        .with("attempt", static_cast<std::uint64_t>(job->attempts_));
+    metrics_.count(Reason::StatementFailed);
+    jobDone(job);
+    if (job->kind_ == StatementKind::Commit) {
+        release(session, reply.mark_ != platform::SessionMark::Idle);
+        session->sql_.transaction_ = TransactionState::None;
     }
+    failStatement(session, error, reply.error_ ? std::string_view(reply.error_->text_) : std::string_view());
+}
+
+void StatementGateway::answerSuccess(
+    const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply& reply, bool provedLead)
+{
+    const auto& session = job->session_;
+    auto& sql = session->sql_;
     jobDone(job);
     const bool wrote = job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None;
     const bool committed = job->kind_ == StatementKind::Commit;
     if (committed) {
-        release(session, false);
+        release(session, reply.mark_ != platform::SessionMark::Idle);
         sql.transaction_ = TransactionState::None;
     } else if (sql.transaction_ == TransactionState::None && !provedLead) {
-        freeLink(link, true);
+        freeLink(link, reply.mark_ == platform::SessionMark::Idle);
     }
-    if ((wrote || (committed && session->wrote_)) && reply->position_.term_ > 0) {
-        sql.ownCommit_ = reply->position_;
-        sampled(groupOf(job->group_), { job->sent_, reply->position_ });
+    if ((wrote || (committed && session->wrote_)) && reply.position_.term_ > 0) {
+        sql.ownCommit_ = reply.position_;
+        sampled(groupOf(job->group_), { job->sent_, reply.position_ });
         metrics_.add(CounterId::Writes);
     }
     metrics_.record(HistogramId::RequestTime, suspendAwareNow() - job->arrived_);
     session->busy_ = false;
-    answer(session, *reply);
+    answer(session, reply);
+    finishOperation(session);
+    session->channel_->offer();
+}
+
+// Ends a statement with an error and goes on with what the client has sent since.
+void StatementGateway::failStatement(const SessionPtr& session, StatementError error, std::string_view text)
+{
+    session->busy_ = false;
+    refuse(session, error, text);
     finishOperation(session);
     session->channel_->offer();
 }
@@ -486,14 +501,15 @@
     start(group, job, *endpoint);
 }
 
-// The connection of the statement ended before its answer.
-void StatementGateway::lost(const JobPtr& job)
+// The connection of the statement ended before its answer, or before the statement could be sent.
+void StatementGateway::lost(const JobPtr& job, bool wasSent)
 {
     const auto& session = job->session_;
     auto& sql = session->sql_;
     const bool commits = job->kind_ == StatementKind::Commit;
-    const bool keeps = (commits && session->wrote_)
+    const bool mayKeep = (commits && session->wrote_)
         || (job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None);
+    const bool keeps = wasSent && mayKeep;
     const auto error = keeps                         ? StatementError::InDoubt
         : sql.transaction_ == TransactionState::None ? StatementError::Failed
                                                      : StatementError::Aborted;
@@ -510,10 +526,7 @@
         release(session, true);
         sql.transaction_ = TransactionState::None;
     }
-    session->busy_ = false;
-    refuse(session, error, "the answer of the database was lost");
-    finishOperation(session);
-    session->channel_->offer();
+    failStatement(session, error, "the answer of the database was lost");
 }
 
 void StatementGateway::timedOut(const JobPtr& job)
@@ -533,12 +546,8 @@
     metrics_.count(Reason::DeadlinePassed);
     if (session->link_ != link && job->kind_ == StatementKind::Read && !job->opensTransaction_) {
         jobDone(job);
-        if (!session->closed_) {
-            session->busy_ = false;
-            refuse(session, StatementError::TimedOut, "no answer within the time limit");
-            finishOperation(session);
-            session->channel_->offer();
-        }
+        if (!session->closed_)
+            failStatement(session, StatementError::TimedOut, "no answer within the time limit");
         link->close();
         return;
     }
@@ -573,10 +582,7 @@
         release(session, true);
         session->sql_.transaction_ = TransactionState::None;
     }
-    session->busy_ = false;
-    refuse(session, StatementError::Overloaded, "not run, retry-after-ms=" + std::to_string(comeBack.count()));
-    finishOperation(session);
-    session->channel_->offer();
+    failStatement(session, StatementError::Overloaded, "not run, retry-after-ms=" + std::to_string(comeBack.count()));
 }
 
 void StatementGateway::jobDone(const JobPtr& job)
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -224,7 +224,7 @@
     submit(job);
 }
 
-void StatementGateway::answerLocal(const SessionPtr& session, const std::string&)
+void StatementGateway::answerLocal(const SessionPtr& session)
 {
     const bool open = session->sql_.transaction_ != TransactionState::None;
     session->channel_->send(platform::encodeComplete("-")
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -82,7 +82,7 @@
     void beginTransaction(const SessionPtr&, bool readOnly);
     void endTransaction(const SessionPtr&, const std::string& id, const Statement&);
     void runStatement(const SessionPtr&, std::string id, const Statement&);
-    void answerLocal(const SessionPtr&, const std::string& error = {});
+    void answerLocal(const SessionPtr&);
     void answer(const SessionPtr&, const EndpointReply&);
     void refuse(const SessionPtr&, StatementError, std::string_view text);
     void release(const SessionPtr&, bool rollback);
@@ -111,7 +111,10 @@
     bool retry(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*);
     void hedgeLate(Group&);
     void hedge(Group&, const JobPtr&);
-    void lost(const JobPtr&);
+    void answerFailure(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
+    void answerSuccess(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&, bool provedLead);
+    void failStatement(const SessionPtr&, StatementError, std::string_view text);
+    void lost(const JobPtr&, bool wasSent);
     void timedOut(const JobPtr&);
     void jobDone(const JobPtr&);
     void learn(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -118,6 +118,23 @@
     }
 }
 
+// Guards against a commit that was never sent being in doubt: its client could not try again.
+TEST_CASE("a commit after its connection was lost is refused as not kept")
+{
+    GatewayHarness harness;
+    const auto client = harness.client("verdicts");
+    REQUIRE(isDone(client->query("BEGIN")));
+    REQUIRE(isDone(client->query("WRITE item a")));
+    harness.server(0).faults().cutAnswers_ = 1;
+    CHECK(client->query("WRITE item b").error_ == "ABORTED");
+    const auto answer = client->query("COMMIT");
+    CHECK(answer.error_ == "ABORTED");
+    CHECK(answer.mark_ == 'I');
+    CHECK(harness.group().commits().empty());
+    CHECK(isDone(client->query("WRITE item c")));
+    CHECK(harness.group().commits().size() == 1);
+}
+
 // Guards against an answer that arrives after its time limit and meets the next user of the connection.
 TEST_CASE("a late answer reaches nobody else")
 {
