--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -151,7 +151,7 @@
 
 bool isScarce(std::size_t limit, std::size_t instances)
 {
-    return limit < instances + reservedConnections;
+    return limit > 0 && limit < instances + reservedConnections; // 0: the catalog states no limit.
 }
 
 std::size_t preferredReplica(std::size_t rank, std::size_t replicas)
