Show the stored revision from the first answer after a restart

A control member's listeners answered before the message of its control task, which reports the stored settings, was taken up. The stored settings are now read before the loop runs. Ruled out: a lost change (all 300 were in force 242 ms later); the quicker elections (the settings come from the file). The window itself has no test that forces it.

--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -6,6 +6,7 @@
 #include "process/Log.h"
 
 #include <algorithm>
+#include <filesystem>
 
 namespace cassiahollow {
 
@@ -123,6 +124,12 @@
         if (stored)
             acceptSettings(tree_, *stored);
     }
+    if (control_) {
+        // The control task reports the same in a moment; a caller that asks before must not see an older revision.
+        BOOST_LEAF_AUTO(reported, loadAppliedSettings(std::filesystem::path(settings_.dataFolder_) / "control"));
+        if (reported)
+            acceptSettings(tree_, *reported);
+    }
     if (tree_.revision_ > 0)
         feed(SettingsApplied { tree_.revision_, false });
     feed(MembershipStarted {});
