Count silent and leaving replicas when commits are confirmed by replicas

Cause, found in the last read of the change: the number of answers needed before a promotion was worked out from the replicas that still report. With one of two silent, the other was promoted although the silent one may hold an acknowledged commit. PromotionDutyTest failed with the old rule and passes now. Left: a replica that is gone for good without signing off stops counting only when its record expires after 60 s.

--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -81,7 +81,11 @@
         // With synchronous replicas, each set of this size holds one that has every acknowledged commit. A primary that
         // leaves is stopped and asked itself.
         const bool needsOverlap = synchronous > 0 && group.cause_ != PromotionCause::Leaving;
-        group.answersNeeded_ = needsOverlap && replicas.size() >= synchronous ? replicas.size() - synchronous + 1 : 1;
+        // Replicas that are silent or leave count as well: each of them may hold a commit that the others lack.
+        const auto all = endpointsOf(turn.registry_, id);
+        const auto holders = static_cast<std::size_t>(std::count_if(
+            all.begin(), all.end(), [&](const EndpointRecord* record) { return record->id_ != group.primary_; }));
+        group.answersNeeded_ = needsOverlap && holders >= synchronous ? holders - synchronous + 1 : 1;
         group.needsPause_ = needsOverlap;
         // The first survey of such a group finds the term above which the second one stops the replicas.
         const Term pauseTerm = needsOverlap && group.highestTerm_ > 0 ? group.highestTerm_ + 1 : 0;
--- a/tests/PromotionDutyTest.cpp
+++ b/tests/PromotionDutyTest.cpp
@@ -192,6 +192,15 @@
     unsure.loseThePrimary(3s);
     CHECK(unsure.orders_.empty()); // i2 may hold a commit that i3 lacks.
     CHECK(unsure.did<ResumeAction>());
+
+    // So may a replica that has not been heard of for long.
+    World silent(1);
+    silent.dark_.insert(EndpointId("i2"));
+    for (int i = 0; i < 50; ++i) {
+        silent.report("i3", EndpointRole::Replica);
+        silent.loseThePrimary(100ms);
+    }
+    CHECK(silent.orders_.empty());
 }
 
 // Guards against two orders with one fence: the older may be carried out after newer ones.
