--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -19,11 +19,6 @@
     // A session reads its own commit this long after it at the earliest: a round trip and a pause.
     constexpr auto ownCommitAge = 10ms;
 
-    AdmissionQueue& queueOf(AdmissionQueue& primary, AdmissionQueue& reads, bool needsPrimary)
-    {
-        return needsPrimary ? primary : reads;
-    }
-
 } // namespace
 
 void StatementGateway::submit(const JobPtr& job)
@@ -85,7 +80,7 @@
         goesToPrimary = first && !hasCaughtUpReplica(candidatesFor(group, *job, choices), floorAgeOf(*job, now), now);
     }
     job->atPrimary_ = goesToPrimary;
-    job->queue_ = &queueOf(group.primaryQueue_, group.readQueue_, goesToPrimary);
+    job->queue_ = goesToPrimary ? &group.primaryQueue_ : &group.readQueue_;
     job->item_.id_ = reinterpret_cast<std::uint64_t>(job.get());
     if (const auto reason = enqueue(*job->queue_, job->item_, now))
         return refuseJob(job, *reason);
@@ -234,10 +229,10 @@
         .with("floor_age", job->floor_ ? now - job->floor_->asked_ : Duration::zero())
         .with("waited", now - job->arrived_)
         .with("attempt", static_cast<std::uint64_t>(job->attempts_));
-    runOn(job, link, endpoint);
+    runOn(job, link);
 }
 
-void StatementGateway::runOn(const JobPtr& job, const EndpointLinkPtr& link, Endpoint&)
+void StatementGateway::runOn(const JobPtr& job, const EndpointLinkPtr& link)
 {
     const auto& sql = job->session_->sql_;
     sendFit(link, sql, job->shape_);
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -103,7 +103,7 @@
     static Duration floorAgeOf(const Job&, TimePoint now);
     Endpoint* placeJob(Group&, const JobPtr&);
     void start(Group&, const JobPtr&, Endpoint&);
-    void runOn(const JobPtr&, const EndpointLinkPtr&, Endpoint&);
+    void runOn(const JobPtr&, const EndpointLinkPtr&);
     void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
     void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
     void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*, bool beginRefused);
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -48,7 +48,6 @@
     struct Survey : boost::intrusive_ref_counter<Survey, boost::thread_unsafe_counter> {
         LineChannelPtr channel_;
         std::string pending_; ///< Sent once the session has started.
-        std::size_t readiesLeft_ { 1 };
         std::optional<platform::DatabaseStatus> status_;
         std::function<void(const std::optional<platform::DatabaseStatus>&)> done_;
 
@@ -66,11 +65,10 @@
             if (const auto* row = std::get_if<platform::EndpointRow>(&message)) {
                 status_ = platform::decodeStatus(row->text_);
             } else if (std::holds_alternative<platform::EndpointReady>(message)) {
-                if (!pending_.empty()) {
+                if (!pending_.empty())
                     channel_->send(std::exchange(pending_, {}));
-                } else if (--readiesLeft_ == 0) {
+                else
                     finish();
-                }
             } else if (!std::holds_alternative<platform::EndpointComplete>(message)) {
                 status_.reset();
                 finish();
