Feed starting instances before an election, and decide a change of primary on fresh reports

Now control members keep the last committed catalog beside the registry and hand it out unconfirmed; new instances ask another member every 40 ms, and go on asking until one has a majority. Statements at an instance that has not reached a primary yet wait like those during a change of primary. The verdict on a primary counts answers only if they are newer than the failure, and waits 300 ms at most for reports that are on the way. Suspicions are reported at once, probes take 250 ms.

Tests that failed first: NodeTest "entry instances that lost power serve before control has a majority again", PromotionDutyTest "answers from before a failure do not delay the change of primary" (1.05 s, bound 0.5 s).

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -59,7 +59,7 @@
           { self_, incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
-    , store_(std::filesystem::path(settings_.dataFolder_) / "registry")
+    , store_(std::filesystem::path(settings_.dataFolder_) / "directory")
     , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
           registry_,
           [this](const GrantChange& grant) {
@@ -81,8 +81,11 @@
 boost::leaf::result<void> ControlHost::start()
 {
     BOOST_LEAF_CHECK(peers_.start());
-    for (auto& record : store_.load(Clock::now()))
+    auto copy = store_.load(Clock::now());
+    for (auto& record : copy.records_)
         mergeRecord(registry_, std::move(record));
+    if (copy.catalog_)
+        applyCatalog(std::make_shared<const CatalogDocument>(std::move(*copy.catalog_)));
     const auto listener = [this](std::string name, const std::string& address) {
         HttpHandlers handlers;
         handlers.request_ = [this](const HttpConnectionPtr& c, const HttpRequest& r) { handleCall(c, r); };
@@ -209,7 +212,15 @@
 {
     if (document_ && document_->version_ >= message.catalog_->version_)
         return;
-    document_ = message.catalog_;
+    applyCatalog(message.catalog_);
+    saveDirectory();
+    answerReads();
+    pushFeeds();
+}
+
+void ControlHost::applyCatalog(std::shared_ptr<const CatalogDocument> document)
+{
+    document_ = std::move(document);
     packed_ = std::make_shared<const PackedCatalog>(packCatalog(*document_));
     LogLine(LogKind::Belief, "catalog_applied").with("version", document_->version_);
     boost::leaf::try_handle_all(
@@ -221,8 +232,11 @@
         },
         [this](const Failure& failure) { metrics_.count(failure.reason_); },
         [this] { metrics_.count(Reason::SettingsInvalid); });
-    answerReads();
-    pushFeeds();
+}
+
+void ControlHost::saveDirectory()
+{
+    store_.save(registry_, packed_, Clock::now());
 }
 
 void ControlHost::receive(const Answered& message)
@@ -502,7 +516,7 @@
 
 void ControlHost::registryChanged()
 {
-    store_.save(registry_, Clock::now());
+    saveDirectory();
     pushFeeds();
     duty_.tick();
 }
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -4,10 +4,10 @@
 #include "cassiahollow/process/Mailbox.h"
 #include "cassiahollow/process/Metrics.h"
 #include "connection/HttpListener.h"
+#include "process/DirectoryStore.h"
 #include "process/EventLoop.h"
 #include "process/NodeSettings.h"
 #include "process/PeerTask.h"
-#include "process/RegistryStore.h"
 #include "version/ControlTask.h"
 #include "version/DutyRunner.h"
 #include "version/PrimarySampler.h"
@@ -88,6 +88,8 @@
     void receive(const PeerMessage&);
     void receive(const Send&);
     void receive(const CatalogApplied&);
+    void applyCatalog(std::shared_ptr<const CatalogDocument>);
+    void saveDirectory();
     void receive(const Answered&);
     void receive(const ControlStatus&);
     void receive(const StorageLost&);
@@ -127,7 +129,7 @@
     Mailbox<Message> mailbox_;
     PeerTask peers_;
     EndpointRegistry registry_;
-    RegistryStore store_;
+    DirectoryStore store_;
     std::unique_ptr<HttpListener> operators_;
     std::unique_ptr<HttpListener> metricsListener_;
     DutyRunner duty_;
--- a/daemon/process/RegistryStore.cpp
+++ b/daemon/process/DirectoryStore.cpp
@@ -1,6 +1,5 @@
-#include "process/RegistryStore.h"
+#include "process/DirectoryStore.h"
 
-#include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/version/ControlStorage.h"
 #include "process/EventLog.h"
 
@@ -16,7 +15,7 @@
 
 namespace {
 
-    // Reports of several endpoints that change together are written once.
+    // Reports of several endpoints and catalogs that change together are written once.
     constexpr auto writePause = std::chrono::milliseconds(100);
 
     bool syncFolder(const std::filesystem::path& folder)
@@ -42,13 +41,13 @@
 
 } // namespace
 
-RegistryStore::RegistryStore(std::filesystem::path file)
+DirectoryStore::DirectoryStore(std::filesystem::path file)
     : file_(std::move(file))
     , thread_([this] { run(); })
 {
 }
 
-RegistryStore::~RegistryStore()
+DirectoryStore::~DirectoryStore()
 {
     {
         const std::lock_guard lock(mutex_);
@@ -58,35 +57,43 @@
     thread_.join();
 }
 
-std::vector<EndpointRecord> RegistryStore::load(TimePoint now) const
+DirectoryCopy DirectoryStore::load(TimePoint now) const
 {
     std::ifstream in(file_, std::ios::binary);
     std::ostringstream bytes;
     bytes << in.rdbuf();
     if (bytes.str().empty())
         return {};
+    const auto unreadable = [](std::string_view detail) {
+        LogLine(LogKind::Dependency, "directory_copy_unreadable").with("detail", detail);
+        return DirectoryCopy();
+    };
     return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::vector<EndpointRecord>> {
+        [&]() -> boost::leaf::result<DirectoryCopy> {
             BOOST_LEAF_AUTO(message, decodeDirectoryMessage(bytes.str(), now));
-            auto* update = std::get_if<RegistryUpdate>(&message);
-            auto records = update ? std::move(update->records_) : std::vector<EndpointRecord>();
-            for (auto& record : records)
+            auto* feed = std::get_if<FeedAnswer>(&message);
+            if (!feed || !feed->records_)
+                return boost::leaf::new_error(Failure { Reason::MessageMalformed, "not a copy of the directory" });
+            DirectoryCopy copy { std::move(*feed->records_), std::nullopt };
+            for (auto& record : copy.records_)
                 record.heard_ = now;
-            return records;
+            if (feed->catalog_) {
+                BOOST_LEAF_ASSIGN(copy.catalog_, unpackCatalog(*feed->catalog_));
+            }
+            return copy;
         },
-        [](const Failure& failure) {
-            LogLine(LogKind::Dependency, "registry_copy_unreadable").with("detail", failure.detail_);
-            return std::vector<EndpointRecord>();
-        },
-        [] { return std::vector<EndpointRecord>(); });
+        [&](const Failure& failure) { return unreadable(failure.detail_); },
+        [&] { return unreadable("unknown error"); });
 }
 
-void RegistryStore::save(const EndpointRegistry& registry, TimePoint now)
+void DirectoryStore::save(const EndpointRegistry& registry, std::shared_ptr<const PackedCatalog> catalog, TimePoint now)
 {
-    RegistryUpdate update;
+    FeedAnswer copy;
+    copy.catalog_ = std::move(catalog);
+    copy.records_.emplace();
     for (const auto& [id, record] : registry.records_)
-        update.records_.push_back(record);
-    auto bytes = encodeDirectoryMessage(update, now);
+        copy.records_->push_back(record);
+    auto bytes = encodeDirectoryMessage(copy, now);
     {
         const std::lock_guard lock(mutex_);
         pending_ = std::move(bytes);
@@ -94,7 +101,7 @@
     arrived_.notify_one();
 }
 
-void RegistryStore::run()
+void DirectoryStore::run()
 {
     bool failing = false;
     std::unique_lock lock(mutex_);
@@ -107,7 +114,7 @@
         lock.unlock();
         const bool written = writeSynced(file_, bytes);
         if (written == failing)
-            LogLine(LogKind::Dependency, written ? "registry_copy_written" : "registry_copy_failed");
+            LogLine(LogKind::Dependency, written ? "directory_copy_written" : "directory_copy_failed");
         failing = !written;
         lock.lock();
     }
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -14,10 +14,15 @@
     constexpr std::size_t mailboxCapacity = 5000;
     // A change of the catalog is pushed; this is how long one takes whose push was lost.
     constexpr auto askInterval = 250ms;
-    // Without a catalog nothing can be served, so a new instance asks as often as a round trip allows.
-    constexpr auto firstAskInterval = 60ms;
+    // Endpoints that begin to fail together are reported together.
+    constexpr auto reportDelay = 20ms;
+    // Without a catalog nothing can be served, so a new instance asks as often as a round trip with the opening of two
+    // connections allows.
+    constexpr auto firstAskInterval = 40ms;
     // Without answers to this many questions in a row, another member is asked.
     constexpr std::uint64_t unansweredLimit = 2;
+    // A new instance asks another member each time: after a loss of power most of them may not have started yet.
+    constexpr std::uint64_t firstUnansweredLimit = 1;
     // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
     constexpr std::size_t reservedFiles = 400;
     // The time before the forced end that is left for the process to end by itself.
@@ -44,7 +49,7 @@
           [this](const LineChannelPtr& channel) { gateway_.accept(channel); })
 {
     loop_.setWakeHandler([this] { receiveAll(); });
-    gateway_.setSuspicionHandler([this] { loop_.schedule(Clock::now() + 160ms, [this] { askNow(); }); });
+    gateway_.setSuspicionHandler([this] { reportSoon(); });
 }
 
 boost::leaf::result<void> GatewayTask::start()
@@ -130,6 +135,11 @@
 
 void GatewayTask::receiveFeed(const InstanceId& sender, const FeedAnswer& answer)
 {
+    // A new instance has asked several members; the first one that has a majority is asked from now on.
+    if (answer.confirmed_ && !hasBeenConfirmed_ && sender != member_) {
+        member_ = sender;
+        unanswered_ = 0;
+    }
     if (sender == member_ && answer.number_ > 0) {
         unanswered_ = 0;
         // An older question was asked before this time, so its samples would be dated too late.
@@ -235,7 +245,7 @@
 
 void GatewayTask::askNow()
 {
-    if (member_.empty() || unanswered_ >= unansweredLimit) {
+    if (member_.empty() || unanswered_ >= (hasBeenConfirmed_ ? unansweredLimit : firstUnansweredLimit)) {
         if (!member_.empty()) {
             LogLine(LogKind::Dependency, "control_member_silent").with("member", member_.value_);
             peers_.reconnect(member_.value_);
@@ -256,12 +266,23 @@
     peers_.send(member_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
 }
 
+// Tells the leader that an endpoint has begun to fail, before the next regular question.
+void GatewayTask::reportSoon()
+{
+    if (std::exchange(reportDue_, true))
+        return;
+    loop_.schedule(Clock::now() + reportDelay, [this] {
+        reportDue_ = false;
+        askNow();
+    });
+}
+
 void GatewayTask::ask()
 {
     askNow();
     updateReadiness();
-    const bool isEmpty = !gateway_.hasCatalog() || !gateway_.hasEndpoints();
-    loop_.schedule(Clock::now() + (isEmpty ? firstAskInterval : askInterval), [this] { ask(); });
+    // What a member without a majority says may be old, so a new instance goes on asking after it has begun to serve.
+    loop_.schedule(Clock::now() + (hasBeenConfirmed_ ? askInterval : firstAskInterval), [this] { ask(); });
 }
 
 } // namespace cassiahollow
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -48,6 +48,7 @@
     void handleCall(const HttpConnectionPtr&, const HttpRequest&);
     void ask();
     void askNow();
+    void reportSoon();
     void chooseMember();
     void replyMetrics(const HttpConnectionPtr&);
     Readiness readiness() const;
@@ -71,6 +72,7 @@
     std::uint64_t unanswered_ { 0 }; ///< Questions to member_ without an answer.
     TimePoint confirmed_; ///< When the last confirmed answer was asked for.
     TimePoint askedAt_;
+    bool reportDue_ { false }; ///< A question with fresh reports is scheduled.
     std::string registryMark_;
     bool hasBeenConfirmed_ { false };
     bool shuttingDown_ { false };
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -180,7 +180,7 @@
         if (endpoint->record_.role_ != EndpointRole::Primary)
             continue;
         EndpointReport report { id };
-        if (load.answered_ != TimePoint())
+        if (hasAnswered(load))
             report.answeredAgo_ = now - load.answered_;
         if (isFailing(load))
             report.failingFor_ = std::max<Duration>(now - load.failingSince_, 1ms);
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -10,8 +10,9 @@
 
     using namespace std::chrono_literals;
 
-    // A machine that is alive accepts a session within a few round trips and a place in its queue.
-    constexpr auto probeTime = 350ms;
+    // A machine that is alive accepts a session within a few round trips and a place in its queue. One that takes
+    // longer and is in use by others is kept by their reports.
+    constexpr auto probeTime = 250ms;
     // Connecting takes an endpoint 12 ms of a slot; a survey counts for PromotionOptions::surveyTime_.
     constexpr auto surveyTime = 400ms;
     // A promotion takes up to a second at the authority.
--- a/include/cassiahollow/process/Readiness.h
+++ b/include/cassiahollow/process/Readiness.h
@@ -25,9 +25,9 @@
     Stopping,
 };
 
-/// How long control may be silent before an instance that also lost most primaries takes itself for isolated: longer
-/// than an election with the questions that it costs.
-inline constexpr Duration isolationTime = std::chrono::milliseconds(900);
+/// How long control may be silent before an instance that also lost most primaries takes itself for isolated: two
+/// questions, and half of an election. Longer would keep clients at an instance that can serve few of them.
+inline constexpr Duration isolationTime = std::chrono::milliseconds(600);
 
 /// Answers the load pattern "a data centre is cut off while its clients still come". An instance without control goes
 /// on serving as long as it reaches most primaries: then control is down, and no other instance could do more. When
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -48,6 +48,8 @@
 void recordFailure(EndpointLoad&, TimePoint now);
 void recordFull(EndpointLoad&, TimePoint now);
 bool isFailing(const EndpointLoad&);
+/// The endpoint has answered since this instance knows it.
+bool hasAnswered(const EndpointLoad&);
 
 /// The expected lag now, and the expected time of an answer without this instance's own statements.
 Duration expectedLag(const EndpointLoad&, TimePoint now);
@@ -109,8 +111,9 @@
 inline constexpr double promotionShare = 0.4;
 
 /// A statement that can be served waits until an answer within the objective is no longer to be expected: a later start
-/// takes a slot from one that is still on time. While the group has no primary, statements that need one wait for the
-/// change of primary instead, up to promotionShare of their time limit, because a retry could not be served earlier.
+/// takes a slot from one that is still on time. While the group has no primary that answers, statements wait for the
+/// change of primary instead, or for the first connection of an instance that has just started, up to promotionShare of
+/// their time limit, because a retry could not be served earlier.
 WaitLimits waitLimits(const Route&, TimePoint arrived, bool waitsForPrimary);
 
 /// The weight of a route's statements in the queues of an overloaded endpoint. Each level of priority counts half of
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -136,8 +136,9 @@
     Duration heartbeatInterval_ { std::chrono::milliseconds(1200) };
     /// Reports of instances count for this long: two intervals of the feed.
     Duration reportLifetime_ { std::chrono::milliseconds(800) };
-    /// A primary that fails for an instance for less than this is not probed: one lost connection is no failure.
-    Duration suspicionAge_ { std::chrono::milliseconds(150) };
+    /// How long after the first failure the decision waits for instances that have not reported since: the interval of
+    /// the feed, and the way.
+    Duration evidenceTime_ { std::chrono::milliseconds(300) };
     /// Time between two probes of a suspect.
     Duration probeInterval_ { std::chrono::milliseconds(150) };
     /// Failed probes in a row after which the leader itself takes an endpoint for unreachable.
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -69,6 +69,11 @@
     return load.failingSince_ != TimePoint();
 }
 
+bool hasAnswered(const EndpointLoad& load)
+{
+    return load.answered_ != TimePoint();
+}
+
 Duration expectedLag(const EndpointLoad& load, TimePoint now)
 {
     const auto lag = std::chrono::duration<double>(load.lag_) * weightLeft(now - load.lagLearned_);
@@ -77,7 +82,7 @@
 
 double expectedResponse(const EndpointLoad& load, TimePoint now)
 {
-    if (load.answered_ == TimePoint())
+    if (!hasAnswered(load))
         return usualResponseSeconds;
     const double weight = weightLeft(now - load.answered_);
     return load.responseSeconds_ * weight + usualResponseSeconds * (1 - weight);
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -26,8 +26,10 @@
 
     // How the instances that have lately used an endpoint see it.
     struct Verdict {
-        std::size_t answered_ { 0 };
         std::size_t failing_ { 0 };
+        std::size_t answered_ { 0 }; ///< They have had an answer since it began to fail.
+        std::size_t uninformed_ { 0 }; ///< They use it, and know nothing that is newer than the failure.
+        TimePoint failingSince_ { TimePoint::max() }; ///< By the first instance that sees it fail.
     };
 
     Verdict verdictOf(const Turn& turn, const EndpointId& endpoint)
@@ -36,13 +38,20 @@
         const auto views = turn.duty_.views_.find(endpoint);
         if (views == turn.duty_.views_.end())
             return verdict;
+        std::vector<const InstanceView*> answered;
         for (const auto& [instance, view] : views->second) {
             if (turn.now_ - view.reported_ > turn.options_.reportLifetime_)
                 continue;
-            if (view.failingFor_ >= turn.options_.suspicionAge_)
+            if (view.failingFor_ > Duration::zero()) {
                 ++verdict.failing_;
-            else if (view.failingFor_ == Duration::zero() && view.answeredAgo_ < turn.options_.reportLifetime_)
-                ++verdict.answered_;
+                verdict.failingSince_ = std::min(verdict.failingSince_, view.reported_ - view.failingFor_);
+            } else if (view.answeredAgo_ < turn.options_.reportLifetime_) {
+                answered.push_back(&view);
+            }
+        }
+        for (const auto* view : answered) {
+            const bool isNewer = verdict.failing_ == 0 || view->reported_ - view->answeredAgo_ > verdict.failingSince_;
+            ++(isNewer ? verdict.answered_ : verdict.uninformed_);
         }
         return verdict;
     }
@@ -154,6 +163,9 @@
             enter(turn, group, PromotionPhase::Watching);
             return;
         }
+        const bool mayBeReached = verdict.answered_ + verdict.uninformed_ > verdict.failing_;
+        if (verdict.failing_ > 0 && mayBeReached && turn.now_ - verdict.failingSince_ < turn.options_.evidenceTime_)
+            return;
         begin(turn, id, group, PromotionCause::Failed);
     }
 
--- a/tests/PromotionDutyTest.cpp
+++ b/tests/PromotionDutyTest.cpp
@@ -20,6 +20,7 @@
     TimePoint now_ { start };
     std::uint64_t sequence_ { 1 };
     std::vector<OrderAction> orders_;
+    TimePoint orderedAt_; ///< The last one.
     std::vector<PromotionAction> all_;
     std::map<EndpointId, LogPosition> positions_ { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 98 } },
         { EndpointId("i3"), { 1, 99 } } };
@@ -75,6 +76,7 @@
             handleResult(duty_, GrantResult { grant->group_, grants_ ? std::optional(++fence_) : std::nullopt });
         } else if (const auto* order = std::get_if<OrderAction>(&action)) {
             orders_.push_back(*order);
+            orderedAt_ = now_;
             if (orderOutcome_)
                 handleResult(duty_, OrderResult { group, *orderOutcome_ });
         }
@@ -148,6 +150,45 @@
     CHECK(world.orders_.empty());
 }
 
+// Replays "a data centre is cut off": the last reports of most instances were sent just before it. A statement with the
+// shortest time limit, 800 ms, has to outlive the decision and the 300 ms of a promotion.
+TEST_CASE("answers from before a failure do not delay the change of primary")
+{
+    World world;
+    const auto cut = world.now_;
+    for (const auto* front : { "front-1", "front-2", "front-3", "front-4", "front-5" })
+        world.seen(front, 10ms, 0ms);
+    world.dark_.insert(EndpointId("i1"));
+    world.run(20ms);
+    for (; world.orders_.empty() && world.now_ - cut < 2s; world.run(250ms)) {
+        world.seen("front-1", world.now_ - cut, world.now_ - cut - 5ms);
+        world.seen("front-2", world.now_ - cut, world.now_ - cut - 5ms);
+        // These have had no statement for the primary since.
+        for (const auto* front : { "front-3", "front-4", "front-5" })
+            world.seen(front, world.now_ - cut + 10ms, 0ms);
+    }
+    REQUIRE_FALSE(world.orders_.empty());
+    CHECK(world.orderedAt_ - cut <= 500ms);
+}
+
+// Guards against a decision before the instances that reach the primary had the time to say so.
+TEST_CASE("a primary that one instance and the leader do not reach is kept while reports of the others are on the way")
+{
+    World world;
+    for (const auto* front : { "front-1", "front-2", "front-3" })
+        world.seen(front, 10ms, 0ms);
+    world.run(10ms);
+    world.dark_.insert(EndpointId("i1"));
+    for (int i = 1; i < 12; ++i) {
+        world.seen("front-1", i * 240ms, i * 240ms - 5ms);
+        world.run(240ms);
+        world.seen("front-2", 10ms, 0ms);
+        world.seen("front-3", 10ms, 0ms);
+    }
+    CHECK(world.did<ProbeAction>());
+    CHECK(world.orders_.empty());
+}
+
 // Guards against a commit that the old primary acknowledged last and the new one lacks.
 TEST_CASE("a primary that leaves stops first, and the target catches up")
 {
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -1,3 +1,4 @@
+#include "process/DirectoryStore.h"
 #include "support/NodeDeployment.h"
 
 #include <catch2/catch.hpp>
@@ -89,6 +90,35 @@
     CHECK(callNode("PUT", deployment.controls()[0].address_, "/api/config", "{\"Version\":99").status_ == 400);
 }
 
+// Replays "all machines lost power": clients wait from the first moment, and an election comes before a majority.
+TEST_CASE("entry instances that lost power serve before control has a majority again")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    auto& first = deployment.controls()[1];
+    REQUIRE(deployment.configure(2, { "receipts", "audits" }, 5s));
+    const DirectoryStore copy(first.folder_ / "directory");
+    REQUIRE(waitFor(
+        [&] {
+            const auto catalog = copy.load(Clock::now()).catalog_;
+            return catalog && catalog->version_ == 2;
+        },
+        5s));
+
+    for (auto& control : deployment.controls())
+        control.process_->kill();
+    deployment.entries()[0].process_->kill();
+    deployment.entries()[0].process_->restart();
+    first.process_->restart();
+    CHECK(writesWithin(deployment, 0, "audits", 3s));
+    // It proves nothing about the newest configuration.
+    CHECK(deployment.versionAt(first) == 0);
+    deployment.controls()[0].process_->restart();
+    CHECK(waitFor([&] { return deployment.versionAt(first) == 2; }, 10s));
+}
+
 // Guards against a control member that is cut off and answers from what it last knew.
 TEST_CASE("a control member without a majority reads nothing back")
 {
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -99,7 +99,7 @@
     std::string seeds;
     for (std::size_t i = 0; i < controls; ++i) {
         const auto host = network + std::to_string(10 + i);
-        controls_.push_back({ host, host + ":" + operatorsPort, {}, nullptr });
+        controls_.push_back({ host, host + ":" + operatorsPort, {}, nullptr, {} });
         seeds += (seeds.empty() ? "\"" : ", \"") + controls_.back().address_ + "\"";
     }
     const auto start = [&](Node& node, const std::string& name, const std::string& listen, const std::string& more) {
@@ -115,12 +115,13 @@
     for (std::size_t i = 0; i < controls; ++i) {
         auto& node = controls_[i];
         const auto name = "core-" + std::to_string(i + 1);
+        node.folder_ = folder_.path() / name;
         start(node, name, "operators: \"" + node.address_ + "\"",
-            "may_found: true\ndata_folder: \"" + (folder_.path() / name).string() + "\"\n");
+            "may_found: true\ndata_folder: \"" + node.folder_.string() + "\"\n");
     }
     for (std::size_t i = 0; i < entries; ++i) {
         const auto host = network + std::to_string(100 + i);
-        entries_.push_back({ host, host + ":" + port, host + ":" + readinessPort, nullptr });
+        entries_.push_back({ host, host + ":" + port, host + ":" + readinessPort, nullptr, {} });
         auto& node = entries_.back();
         start(node, "front-" + std::to_string(i + 1),
             "statements: \"" + node.address_ + "\", readiness: \"" + node.readiness_ + "\"", "");
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -4,6 +4,7 @@
 #include "GatewayHarness.h"
 
 #include <atomic>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -30,6 +31,7 @@
         std::string address_; ///< Of the operators or of the statements listener.
         std::string readiness_;
         std::unique_ptr<ChildProcess> process_;
+        std::filesystem::path folder_; ///< The data folder of a control member.
     };
     struct Promotion {
         std::string endpoint_;
