Take the age of a read of an own commit from the commit

Cause: a replica that lacked a session's commit of a few milliseconds ago was recorded as behind by the age of the sample, up to 2.5 s, because the floor's position was raised and its age was not. Until that estimate had halved itself away, reads of every age went to the primary.

A floor now carries the time by which the primary had reached it, which for an own commit is its acknowledgement.

--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -44,8 +44,7 @@
     int outstanding_ { 0 }; ///< Attempts that have not been answered; two when a read was also sent elsewhere.
     bool hedged_ { false };
     std::set<EndpointId> tried_;
-    std::optional<PositionSample> floor_; ///< Of the current attempt.
-    LogPosition floorPosition_;
+    std::optional<ReadFloor> floor_; ///< Of the current attempt.
     EndpointLinkPtr link_;
     bool isDone_ { false };
     EventLoop::TimerId timer_; ///< The statement's time limit.
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -16,8 +16,6 @@
     constexpr auto sampleInterval = 250ms;
     // While connections are scarce, control members take the samples; without them this instance takes its own.
     constexpr auto sharedSampleInterval = 1200ms;
-    // A session reads its own commit this long after it at the earliest: a round trip and a pause.
-    constexpr auto ownCommitAge = 10ms;
 
 } // namespace
 
@@ -51,7 +49,7 @@
     auto& group = groupOf(job->group_);
     const auto now = suspendAwareNow();
     const auto* first = primary(group);
-    const bool waitsForPrimary = !first || isFailing(first->load_);
+    const bool waitsForPrimary = !first || isFailing(first->load_) || !hasAnswered(first->load_);
     if (isolated_ && job->needsPrimary_ && waitsForPrimary)
         return refuseJob(job, Reason::GroupWithoutPrimary);
     const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
@@ -59,17 +57,16 @@
         const auto newest = newestSample(group.samples_);
         if (!newest || now - newest->asked_ > (isScarceFor(job->group_) ? sharedSampleInterval : sampleInterval))
             requestSample(group);
-        job->floor_ = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
-        if (!job->floor_) {
+        const auto sample = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
+        if (!sample) {
             if (isolated_ && waitsForPrimary)
                 return refuseJob(job, Reason::NoEndpointForRead);
             group.awaitSample_.insert(job);
             job->item_.deadline_ = limits.latestStart_;
             return;
         }
-        job->floorPosition_ = job->floor_->position_;
-        if (job->route_->consistency_ == Consistency::ReadYourWrites)
-            job->floorPosition_ = sessionFloor(*job->floor_, job->session_->sql_.ownCommit_);
+        const bool seesOwn = job->route_->consistency_ == Consistency::ReadYourWrites;
+        job->floor_ = sessionFloor(*sample, seesOwn ? job->session_->sql_.ownCommit_ : OwnCommit {});
     }
     job->item_.class_ = ClassId(job->route_->name_);
     job->item_.service_ = ServiceId(job->route_->database_);
@@ -77,7 +74,8 @@
     bool goesToPrimary = job->needsPrimary_;
     if (!goesToPrimary) {
         std::vector<Endpoint*> choices;
-        goesToPrimary = first && !hasCaughtUpReplica(candidatesFor(group, *job, choices), floorAgeOf(*job, now), now);
+        goesToPrimary
+            = first && !hasCaughtUpReplica(candidatesFor(group, *job, choices), now - job->floor_->reached_, now);
     }
     job->atPrimary_ = goesToPrimary;
     job->queue_ = goesToPrimary ? &group.primaryQueue_ : &group.readQueue_;
@@ -183,7 +181,7 @@
     std::erase_if(
         candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
     const auto now = suspendAwareNow();
-    const auto chosen = placeRead(candidates, floorAgeOf(*job, now), now);
+    const auto chosen = placeRead(candidates, now - job->floor_->reached_, now);
     return chosen ? choices[*chosen] : nullptr;
 }
 
@@ -204,12 +202,6 @@
     return candidates;
 }
 
-// A session's own commit is newer than the sample, so its age says nothing about the floor.
-Duration StatementGateway::floorAgeOf(const Job& job, TimePoint now)
-{
-    return job.floorPosition_ == job.floor_->position_ ? now - job.floor_->asked_ : ownCommitAge;
-}
-
 void StatementGateway::start(Group&, const JobPtr& job, Endpoint& endpoint)
 {
     const auto link = idleLink(endpoint, *job);
@@ -226,7 +218,7 @@
         .with("request", job->id_)
         .with("endpoint", endpoint.record_.id_.value_)
         .with("catalog", job->catalog_->version_)
-        .with("floor_age", job->floor_ ? now - job->floor_->asked_ : Duration::zero())
+        .with("floor_age", job->floor_ ? now - job->floor_->reached_ : Duration::zero())
         .with("waited", now - job->arrived_)
         .with("attempt", static_cast<std::uint64_t>(job->attempts_));
     runOn(job, link);
@@ -244,7 +236,7 @@
 void StatementGateway::runSingle(const JobPtr& job, const EndpointLinkPtr& link, bool proveLead)
 {
     if (!proveLead) {
-        const auto text = job->needsPrimary_ ? job->text_ : platform::withFloor(job->floorPosition_, job->text_);
+        const auto text = job->needsPrimary_ ? job->text_ : platform::withFloor(job->floor_->position_, job->text_);
         return link->exchange(platform::encodeQuery(job->id_, text),
             [this, job, link](const EndpointReply* reply) { finished(job, link, reply, false); });
     }
@@ -266,7 +258,7 @@
 
 void StatementGateway::runFirst(const JobPtr& job, const EndpointLinkPtr& link, bool readOnly)
 {
-    const auto begin = readOnly ? platform::withFloor(job->floorPosition_, platform::beginReadText())
+    const auto begin = readOnly ? platform::withFloor(job->floor_->position_, platform::beginReadText())
                                 : std::string(platform::beginText());
     // A statement after a refused begin would run outside the transaction, so it waits for the answer.
     link->exchange(platform::encodeOwn(begin), [this, job, link, readOnly](const EndpointReply* reply) {
@@ -302,7 +294,6 @@
     if (reply)
         learn(job, link, *reply);
     const auto& session = job->session_;
-    auto& sql = session->sql_;
     const bool ownsTransaction = session->link_ == link;
     const bool provedLead
         = job->needsPrimary_ && job->kind_ == StatementKind::Read && !job->opensTransaction_ && !ownsTransaction;
@@ -368,7 +359,7 @@
         freeLink(link, reply.mark_ == platform::SessionMark::Idle);
     }
     if ((wrote || (committed && session->wrote_)) && reply.position_.term_ > 0) {
-        sql.ownCommit_ = reply.position_;
+        sql.ownCommit_ = { reply.position_, suspendAwareNow() };
         sampled(groupOf(job->group_), { job->sent_, reply.position_ });
         metrics_.add(CounterId::Writes);
     }
@@ -395,7 +386,7 @@
         return;
     const auto now = suspendAwareNow();
     auto& load = endpoint->load_;
-    const auto floorAge = job->floor_ ? job->sent_ - job->floor_->asked_ : Duration::zero();
+    const auto floorAge = job->floor_ ? job->sent_ - job->floor_->reached_ : Duration::zero();
     if (!reply.error_) {
         recordAnswer(load, now - job->sent_, now);
         metrics_.record(HistogramId::RunTime, now - job->sent_);
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -100,7 +100,6 @@
     std::size_t freeAtPrimary(const Group&) const;
     std::size_t freeForReads(const Group&) const;
     std::vector<PlacementCandidate> candidatesFor(const Group&, const Job&, std::vector<Endpoint*>&);
-    static Duration floorAgeOf(const Job&, TimePoint now);
     Endpoint* placeJob(Group&, const JobPtr&);
     void start(Group&, const JobPtr&, Endpoint&);
     void runOn(const JobPtr&, const EndpointLinkPtr&);
--- a/include/cassiahollow/connection/SqlSession.h
+++ b/include/cassiahollow/connection/SqlSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiahollow/process/Types.h"
+#include "cassiahollow/request/PositionSamples.h"
 
 #include <cstdint>
 #include <map>
@@ -76,7 +77,7 @@
     TransactionState transaction_ { TransactionState::None };
     bool readOnly_ { false }; ///< The transaction was begun as read-only.
     TimePoint begun_; ///< Arrival of the transaction's first statement.
-    LogPosition ownCommit_; ///< The last acknowledged commit of this session.
+    OwnCommit ownCommit_;
 };
 
 /// At most this many values, and as many prepared names, are kept for a session, to bound its memory.
--- a/include/cassiahollow/request/PositionSamples.h
+++ b/include/cassiahollow/request/PositionSamples.h
@@ -37,8 +37,21 @@
 /// The newest sample, if any.
 std::optional<PositionSample> newestSample(const PositionSamples&);
 
-/// The floor of a read of a session: the sample's position, raised to the session's own last commit. A commit of a term
-/// before the sample's is either below the sample or was rolled back.
-LogPosition sessionFloor(const PositionSample&, const LogPosition& ownCommit);
+/// The position that an endpoint must have to serve a read.
+struct ReadFloor {
+    LogPosition position_;
+    /// The primary was at the position by then. A replica that lags by more than the time since lacks it.
+    TimePoint reached_;
+};
+
+/// The last acknowledged commit of a session.
+struct OwnCommit {
+    LogPosition position_;
+    TimePoint acknowledged_;
+};
+
+/// The floor of a read that must see its session's own commit: the sample's position, raised to that commit. A commit
+/// of a term before the sample's is either below the sample or was rolled back.
+ReadFloor sessionFloor(const PositionSample&, const OwnCommit&);
 
 } // namespace cassiahollow
--- a/src/request/PositionSamples.cpp
+++ b/src/request/PositionSamples.cpp
@@ -45,9 +45,11 @@
     return state.samples_.empty() ? std::nullopt : std::optional(state.samples_.back());
 }
 
-LogPosition sessionFloor(const PositionSample& sample, const LogPosition& ownCommit)
+ReadFloor sessionFloor(const PositionSample& sample, const OwnCommit& commit)
 {
-    return std::max(sample.position_, ownCommit);
+    if (commit.position_ > sample.position_)
+        return { commit.position_, commit.acknowledged_ };
+    return { sample.position_, sample.asked_ };
 }
 
 } // namespace cassiahollow
--- a/tests/PositionSamplesTest.cpp
+++ b/tests/PositionSamplesTest.cpp
@@ -96,8 +96,12 @@
 TEST_CASE("a session reads its own commit")
 {
     const auto floor = sample(0ms, 3, 100);
-    CHECK(sessionFloor(floor, {}) == LogPosition { 3, 100 });
-    CHECK(sessionFloor(floor, { 3, 120 }) == LogPosition { 3, 120 });
-    CHECK(sessionFloor(floor, { 2, 500 }) == LogPosition { 3, 100 });
-    CHECK(sessionFloor(floor, { 4, 90 }) == LogPosition { 4, 90 });
+    const auto floorFor = [&](LogPosition commit) { return sessionFloor(floor, { commit, start + 5ms }); };
+    CHECK(floorFor({}).position_ == LogPosition { 3, 100 });
+    CHECK(floorFor({ 3, 120 }).position_ == LogPosition { 3, 120 });
+    CHECK(floorFor({ 2, 500 }).position_ == LogPosition { 3, 100 });
+    CHECK(floorFor({ 4, 90 }).position_ == LogPosition { 4, 90 });
+    // What a replica that lacks the floor tells about its lag depends on which of the two the floor is.
+    CHECK(floorFor({ 2, 500 }).reached_ == floor.asked_);
+    CHECK(floorFor({ 3, 120 }).reached_ == start + 5ms);
 }
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -64,6 +64,29 @@
     CHECK(atPrimary <= 10);
 }
 
+// Replays "sessions read what they have just written": a replica that lacks a commit of a moment ago serves older
+// reads.
+TEST_CASE("a read of an own commit says nothing about replicas that serve older reads")
+{
+    GatewayHarness harness;
+    harness.group().setLag(EndpointId("i-2"), 60ms);
+    harness.group().setLag(EndpointId("i-3"), 60ms);
+    const auto writer = harness.client("receipts");
+    const auto reader = harness.client("audits");
+    REQUIRE(isDone(writer->query("WRITE item x")));
+    REQUIRE(waitFor([&] { return isDone(reader->query("READ warm-up")); }));
+    std::this_thread::sleep_for(600ms); // Samples of that age exist from now on.
+    for (int i = 0; i < 60; ++i) {
+        REQUIRE(isDone(writer->query("WRITE item x")));
+        REQUIRE(isDone(writer->query("READ item")));
+        REQUIRE(isDone(reader->query("READ old")));
+    }
+    std::size_t atPrimary = 0;
+    for (const auto& ran : harness.server(0).ran())
+        atPrimary += ran.text_.ends_with("READ old") ? 1 : 0;
+    CHECK(atPrimary <= 6);
+}
+
 // Guards against an old primary that answers reads from a log that ended.
 TEST_CASE("a read on a primary route is never answered by a primary that was deposed")
 {
