Replace a strained primary whose replicas are all far behind; give each public type one name

Load pattern: all replicas of a group far behind. They had received the log and applied it 15 to 20 s late (lag 19,683 ms in a survey), long after the fault that caused it had ended, because a log is applied in order.

Entry instances report a primary as strained while it sheds or keeps waiting reads that came to it only for lag. When a quarter of its users says so for 0.7 s, and a survey shows every replica further behind than any route accepts, control stops the primary, lets a replica that has received the same log catch up, and promotes it: two endpoints serve then instead of one. Two surveys prove that the target receives. A target that does not catch up is dropped and the old primary leads again, so nothing acknowledged is lost. Once in 10 s at most.

Also: two structs cassiahollow::EndpointReport and two EndpointRecord stood in one library, of different size, which is undefined (their inline members merge).

Tests that failed first: PromotionDutyTest (3 cases for strain), GatewayTest "a primary that sheds reads of replicas that are behind is reported as strained". Ruled out: serving such reads at replicas (they are older than any route accepts); longer queues at the primary (it was busy all the time).

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -440,7 +440,7 @@
 
 void ControlHost::putHeartbeat(const HttpConnectionPtr& connection, const std::string& id, const std::string& body)
 {
-    std::optional<EndpointRecord> record;
+    std::optional<RegisteredEndpoint> record;
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat(id, body, Clock::now()));
@@ -507,7 +507,7 @@
     peers_.send(recipient.value_, PeerMessageKind::Directory, encodeDirectoryMessage(message, Clock::now()));
 }
 
-void ControlHost::spread(std::vector<EndpointRecord> records)
+void ControlHost::spread(std::vector<RegisteredEndpoint> records)
 {
     const RegistryUpdate update { std::move(records), false, false, entryInstances() };
     for (const auto& member : otherMembers())
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -114,7 +114,7 @@
     std::vector<InstanceId> otherMembers() const;
     std::vector<InstanceId> entryInstances() const;
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
-    void spread(std::vector<EndpointRecord>);
+    void spread(std::vector<RegisteredEndpoint>);
     void registryChanged();
     void pushFeeds();
     void pushDueFeeds();
--- a/daemon/process/DirectoryStore.h
+++ b/daemon/process/DirectoryStore.h
@@ -15,7 +15,7 @@
 
 /// What control members tell entry instances, as far as a restarted member needs it at once.
 struct DirectoryCopy {
-    std::vector<EndpointRecord> records_;
+    std::vector<RegisteredEndpoint> records_;
     std::optional<CatalogDocument> catalog_; ///< A committed catalog, perhaps not the newest.
 };
 
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -120,7 +120,7 @@
     rank_ = rank;
 }
 
-void StatementGateway::setEndpoints(const std::vector<EndpointRecord>& records)
+void StatementGateway::setEndpoints(const std::vector<RegisteredEndpoint>& records)
 {
     std::map<GroupId, EndpointId> before;
     for (const auto& [id, group] : groups_) {
@@ -171,19 +171,20 @@
     }
 }
 
-std::vector<EndpointReport> StatementGateway::reports() const
+std::vector<EndpointObservation> StatementGateway::reports() const
 {
     const auto now = suspendAwareNow();
-    std::vector<EndpointReport> reports;
+    std::vector<EndpointObservation> reports;
     for (const auto& [id, endpoint] : endpoints_) {
         const auto& load = endpoint->load_;
         if (endpoint->record_.role_ != EndpointRole::Primary)
             continue;
-        EndpointReport report { id };
+        EndpointObservation report { id };
         if (hasAnswered(load))
             report.answeredAgo_ = now - load.answered_;
         if (isFailing(load))
             report.failingFor_ = std::max<Duration>(now - load.failingSince_, 1ms);
+        report.strained_ = isStrained(load, now);
         if (isFailing(load) || report.answeredAgo_ < reportedUse)
             reports.push_back(report);
     }
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -53,7 +53,7 @@
 };
 
 struct StatementGateway::Endpoint {
-    EndpointRecord record_;
+    RegisteredEndpoint record_;
     EndpointLoad load_;
     std::vector<EndpointLinkPtr> links_;
     TimePoint leavingSince_;
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -398,9 +398,12 @@
     }
     load.answered_ = now;
     load.failingSince_ = {};
-    if (reply.error_->error_ == StatementError::Overloaded)
+    if (reply.error_->error_ == StatementError::Overloaded) {
         recordShed(load, now);
-    else if (reply.error_->error_ == StatementError::Behind)
+        if (job->atPrimary_ && !job->needsPrimary_)
+            recordStrain(load, now);
+    }
+    if (reply.error_->error_ == StatementError::Behind)
         recordBehind(load, floorAge, now);
 }
 
@@ -560,6 +563,8 @@
         .with("waited", suspendAwareNow() - job->arrived_)
         .with("waiting", static_cast<std::uint64_t>(waiting))
         .with("come_back", comeBack);
+    if (auto* endpoint = primary(group); endpoint && job->atPrimary_ && !job->needsPrimary_)
+        recordStrain(endpoint->load_, suspendAwareNow());
     jobDone(job);
     const auto& session = job->session_;
     if (session->closed_)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -40,14 +40,14 @@
     /// A newer catalog. Statements that are under way go on with the one they began with.
     void setCatalog(std::shared_ptr<const RouteCatalog>);
     /// The endpoints as control members know them, and this instance's place among the instances.
-    void setEndpoints(const std::vector<EndpointRecord>&);
+    void setEndpoints(const std::vector<RegisteredEndpoint>&);
     void setShare(std::size_t instances, std::size_t rank);
 
     /// A sample that somebody else took, dated by this instance's clock.
     void addSample(const GroupId&, const PositionSample&);
 
     /// What this instance has seen of the endpoints that it used lately.
-    std::vector<EndpointReport> reports() const;
+    std::vector<EndpointObservation> reports() const;
     /// Called when an endpoint begins to fail.
     void setSuspicionHandler(std::function<void()> handler) { suspicionHandler_ = std::move(handler); }
 
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -117,7 +117,7 @@
     loggedPhases_.clear();
 }
 
-void DutyRunner::reported(const InstanceId& instance, const std::vector<EndpointReport>& reports)
+void DutyRunner::reported(const InstanceId& instance, const std::vector<EndpointObservation>& reports)
 {
     recordReports(duty_, instance, reports, Clock::now());
     tick();
@@ -212,11 +212,18 @@
         = [this, owner = alive_, reign = reign_, endpoint](const std::optional<platform::DatabaseStatus>& status) {
               if (!*owner)
                   return;
-              SurveyResult result { endpoint, std::nullopt, 0 };
+              SurveyResult result { endpoint, std::nullopt, 0, Duration::zero() };
               if (status) {
+                  result.lag_ = status->lag_;
                   result.received_ = status->received_;
                   result.highestTerm_ = std::max(status->held_, status->received_.term_);
               }
+              LogLine(LogKind::Promotion, "surveyed")
+                  .with("endpoint", endpoint.value_)
+                  .with("answered", static_cast<std::uint64_t>(status ? 1 : 0))
+                  .with("term", result.received_ ? result.received_->term_ : 0)
+                  .with("position", result.received_ ? result.received_->index_ : 0)
+                  .with("lag", result.lag_);
               finish(reign, result);
           };
     survey->channel_ = sockets_.open(record->second.address_, surveyTime, surveyTime,
--- a/daemon/version/DutyRunner.h
+++ b/daemon/version/DutyRunner.h
@@ -33,7 +33,7 @@
     /// The member begins or ceases to lead.
     void setLeading(bool leading);
     void setCatalog(std::shared_ptr<const RouteCatalog> catalog) { catalog_ = std::move(catalog); }
-    void reported(const InstanceId&, const std::vector<EndpointReport>&);
+    void reported(const InstanceId&, const std::vector<EndpointObservation>&);
     void granted(const GroupId&, std::optional<std::uint64_t> fence);
     /// Has to be called several times a second.
     void tick();
--- a/fuzz/PlatformDecoders.cpp
+++ b/fuzz/PlatformDecoders.cpp
@@ -75,7 +75,7 @@
     Verdict checkHeartbeat(const std::string& bytes)
     {
         return decoded([&] { return platform::decodeHeartbeat("i-1", bytes, now); },
-            [](const EndpointRecord& record) -> std::string {
+            [](const RegisteredEndpoint& record) -> std::string {
                 return record.group_.empty() || record.slots_ == 0 ? "a heartbeat without group or slots is used" : "";
             });
     }
@@ -111,9 +111,9 @@
         return { platform::decodeStatus(bytes).has_value(), {} };
     }
 
-    EndpointRecord recordSeed()
+    RegisteredEndpoint recordSeed()
     {
-        EndpointRecord record;
+        RegisteredEndpoint record;
         record.id_ = EndpointId("i-1");
         record.group_ = GroupId("returns");
         record.address_ = "10.0.0.1:80";
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -15,10 +15,11 @@
 namespace cassiahollow {
 
 /// What an instance has seen of an endpoint that it uses.
-struct EndpointReport {
+struct EndpointObservation {
     EndpointId endpoint_;
     Duration answeredAgo_ { Duration::max() }; ///< Since its last answer; the maximum when there was none.
     Duration failingFor_ { 0 }; ///< Since the first failure after the last answer; 0 when there was none.
+    bool strained_ { false }; ///< It lately turned reads away that replicas would have served had they not been behind.
 };
 
 /// An entry instance asks a control member for what has changed, and says what it has seen.
@@ -28,7 +29,7 @@
     std::string registryMark_; ///< The mark of the last answer with records, or empty.
     bool takesRequests_ { true }; ///< False on an instance that shuts down.
     bool missesAnswers_ { false }; ///< Earlier answers were lost; the connection back may have gone silent.
-    std::vector<EndpointReport> reports_;
+    std::vector<EndpointObservation> reports_;
 };
 
 /// A position of a group's primary and how long ago it was asked for. Only the one who asked for the answer that
@@ -56,7 +57,7 @@
     std::uint64_t catalogVersion_ { 0 };
     std::shared_ptr<const PackedCatalog> catalog_; ///< Null when the asker has it.
     std::string registryMark_; ///< Process and revision of the records.
-    std::optional<std::vector<EndpointRecord>> records_; ///< All records, unless the asker's mark is this one.
+    std::optional<std::vector<RegisteredEndpoint>> records_; ///< All records, unless the asker's mark is this one.
     InstanceId leader_; ///< Empty when none is known.
     std::vector<InstanceId> members_; ///< The control members.
     std::size_t instances_ { 0 }; ///< Entry instances that asked lately.
@@ -66,7 +67,7 @@
 
 /// Between control members: records of endpoints, and a sign of life.
 struct RegistryUpdate {
-    std::vector<EndpointRecord> records_;
+    std::vector<RegisteredEndpoint> records_;
     bool wantsAll_ { false }; ///< The sender has just started and asks for all records.
     bool missesRecipient_ { false }; ///< The sender hears nothing of the recipient, whose connection may be silent.
     std::vector<InstanceId> instances_; ///< Entry instances that asked the sender lately.
@@ -75,7 +76,7 @@
 /// Passes an instance's reports on to the leader.
 struct ReportRelay {
     InstanceId instance_;
-    std::vector<EndpointReport> reports_;
+    std::vector<EndpointObservation> reports_;
 };
 
 using DirectoryMessage = std::variant<FeedRequest, FeedAnswer, RegistryUpdate, ReportRelay>;
--- a/include/cassiahollow/process/EndpointRegistry.h
+++ b/include/cassiahollow/process/EndpointRegistry.h
@@ -11,7 +11,7 @@
 namespace cassiahollow {
 
 /// What an endpoint last said about itself.
-struct EndpointRecord {
+struct RegisteredEndpoint {
     EndpointId id_;
     GroupId group_;
     std::string address_; ///< ip:port
@@ -30,7 +30,7 @@
 /// The endpoints that have announced themselves. Replicas of it converge because records are ordered by their process
 /// and sequence, whatever way they arrive.
 struct EndpointRegistry {
-    std::map<EndpointId, EndpointRecord> records_;
+    std::map<EndpointId, RegisteredEndpoint> records_;
     std::uint64_t revision_ { 0 }; ///< Grows with every change that matters to routing.
 };
 
@@ -47,7 +47,7 @@
 
 /// Merges a report. A report of an older process, or with an older sequence, is stale; so is one whose address a newer
 /// endpoint has taken.
-RegistryMerge mergeRecord(EndpointRegistry&, EndpointRecord);
+RegistryMerge mergeRecord(EndpointRegistry&, RegisteredEndpoint);
 
 /// Marks an endpoint as gone. A later process with the same id is accepted again.
 RegistryMerge removeRecord(EndpointRegistry&, const EndpointId&, TimePoint now);
@@ -56,9 +56,9 @@
 void expireRecords(EndpointRegistry&, TimePoint now);
 
 /// The endpoint that last became the primary of a group, or null. Valid until the registry changes.
-const EndpointRecord* primaryOf(const EndpointRegistry&, const GroupId&);
+const RegisteredEndpoint* primaryOf(const EndpointRegistry&, const GroupId&);
 
 /// The endpoints of a group that have not gone. Valid until the registry changes.
-std::vector<const EndpointRecord*> endpointsOf(const EndpointRegistry&, const GroupId&);
+std::vector<const RegisteredEndpoint*> endpointsOf(const EndpointRegistry&, const GroupId&);
 
 } // namespace cassiahollow
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -24,6 +24,7 @@
     double window_ { 2 }; ///< Statements that this instance keeps in flight at most.
     Duration lag_ { 0 }; ///< A replica was that far behind.
     TimePoint lagLearned_;
+    TimePoint strained_; ///< A primary: the last read that was turned away here because all replicas were behind.
 };
 
 /// Smooths response times over about eight answers.
@@ -36,6 +37,9 @@
 inline constexpr Duration failurePause = std::chrono::milliseconds(250);
 /// After a refusal for too many connections no other is opened for this long.
 inline constexpr Duration fullPause = std::chrono::milliseconds(300);
+/// A primary is strained for this long after each read that it turned away: a few intervals of the feed, because one
+/// instance of many has few reads for one group.
+inline constexpr Duration strainMemory = std::chrono::milliseconds(1000);
 /// An exchange without an answer for this long counts as a failure of the endpoint.
 inline constexpr Duration silenceLimit = std::chrono::milliseconds(300);
 
@@ -47,6 +51,10 @@
 void recordShed(EndpointLoad&, TimePoint now);
 void recordFailure(EndpointLoad&, TimePoint now);
 void recordFull(EndpointLoad&, TimePoint now);
+/// A primary has turned away a read that came to it only because all replicas were behind.
+void recordStrain(EndpointLoad&, TimePoint now);
+/// It has done so lately.
+bool isStrained(const EndpointLoad&, TimePoint now);
 bool isFailing(const EndpointLoad&);
 /// The endpoint has answered since this instance knows it.
 bool hasAnswered(const EndpointLoad&);
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -25,6 +25,7 @@
     Failed, ///< Neither the leader nor most instances that use it reach it.
     Leaving, ///< It has announced that it leaves.
     Missing, ///< No endpoint of the group claims to be the primary.
+    Strained, ///< It turns reads away, because all replicas are too far behind to serve them.
 };
 
 /// Asks an endpoint on a new connection whether it is alive. Answered by a ProbeResult.
@@ -67,6 +68,7 @@
     EndpointId endpoint_;
     std::optional<LogPosition> received_; ///< Empty: no answer.
     Term highestTerm_ { 0 }; ///< The highest term that the endpoint knows.
+    Duration lag_ { 0 }; ///< How far it applies behind what it has received.
 };
 struct GrantResult {
     GroupId group_;
@@ -105,12 +107,16 @@
     int failedProbes_ { 0 };
     std::set<EndpointId> asked_; ///< Surveyed and not yet answered.
     std::map<EndpointId, LogPosition> positions_;
+    std::map<EndpointId, Duration> lags_;
     std::size_t answersNeeded_ { 1 }; ///< Positions without which no target may be chosen.
     bool needsPause_ { false }; ///< Commits are confirmed by replicas, so those that are asked have to stop first.
     std::set<EndpointId> paused_;
     std::uint64_t fence_ { 0 };
     bool isOrderUnknown_ { false }; ///< The last order got no answer.
-    LogPosition stoppedAt_; ///< Where a primary that leaves has stopped.
+    LogPosition stoppedAt_; ///< Where a primary that leaves, or is relieved, has stopped.
+    std::optional<LogPosition> surveyedAt_; ///< Strained: where the primary was at the first survey.
+    std::optional<TimePoint> strainedSince_;
+    TimePoint nextRelief_; ///< A strained primary is not replaced before.
     Term highestTerm_ { 0 };
     std::optional<bool> granted_; ///< The answer to the last GrantAction.
     std::optional<OrderOutcome> ordered_; ///< The answer to the last OrderAction.
@@ -124,6 +130,7 @@
     TimePoint reported_;
     Duration answeredAgo_ { Duration::max() };
     Duration failingFor_ { 0 };
+    bool strained_ { false };
 };
 
 struct PromotionDuty {
@@ -151,6 +158,14 @@
     Duration settleTime_ { std::chrono::milliseconds(2500) };
     /// How long an order without an answer is waited for before the same target is ordered with a higher fence.
     Duration reorderTime_ { std::chrono::milliseconds(600) };
+    /// How long a primary is strained before it is replaced: longer than a change of primary keeps its reads waiting.
+    Duration strainTime_ { std::chrono::milliseconds(700) };
+    /// One of this many instances that use a primary has to see it strained: each has few reads for one group.
+    std::size_t strainedShare_ { 4 };
+    /// Time after which a strained primary is looked at again, when the replicas could not help.
+    Duration reliefRetry_ { std::chrono::seconds(1) };
+    /// Least time between two changes of a group's primary for strain, each of which ends transactions.
+    Duration reliefInterval_ { std::chrono::seconds(10) };
     /// How long a new group may be without a primary before one is promoted.
     Duration missingTime_ { std::chrono::seconds(3) };
 };
@@ -159,7 +174,7 @@
 void beginDuty(PromotionDuty&);
 
 /// Takes in an instance's reports.
-void recordReports(PromotionDuty&, const InstanceId&, const std::vector<EndpointReport>&, TimePoint now);
+void recordReports(PromotionDuty&, const InstanceId&, const std::vector<EndpointObservation>&, TimePoint now);
 
 /// Has to be called several times a second, and after each recordReports().
 std::vector<PromotionAction> tickDuty(
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -36,16 +36,16 @@
     }
 
     // Arrays in a fixed order are half as long as maps.
-    json toJson(const EndpointRecord& record, TimePoint now)
+    json toJson(const RegisteredEndpoint& record, TimePoint now)
     {
         return json::array({ record.id_.value_, record.group_.value_, record.address_, record.dataCentre_.value_,
             record.born_, record.sequence_, record.slots_, record.role_ == EndpointRole::Primary, record.leaving_,
             record.gone_, toAge(record.warmUpLeft_), toAge(now - record.heard_), toAge(now - record.roleSince_) });
     }
 
-    EndpointRecord recordFrom(const json& in, TimePoint now)
+    RegisteredEndpoint recordFrom(const json& in, TimePoint now)
     {
-        EndpointRecord record;
+        RegisteredEndpoint record;
         record.id_ = EndpointId(in.at(0).get<std::string>());
         record.group_ = GroupId(in.at(1).get<std::string>());
         record.address_ = in.at(2).get<std::string>();
@@ -62,7 +62,7 @@
         return record;
     }
 
-    json toJson(const std::vector<EndpointRecord>& records, TimePoint now)
+    json toJson(const std::vector<RegisteredEndpoint>& records, TimePoint now)
     {
         auto out = json::array();
         for (const auto& record : records)
@@ -70,9 +70,9 @@
         return out;
     }
 
-    std::vector<EndpointRecord> recordsFrom(const json& in, TimePoint now)
+    std::vector<RegisteredEndpoint> recordsFrom(const json& in, TimePoint now)
     {
-        std::vector<EndpointRecord> records;
+        std::vector<RegisteredEndpoint> records;
         for (const auto& record : in)
             records.push_back(recordFrom(record, now));
         return records;
@@ -94,22 +94,22 @@
         return instances;
     }
 
-    json toJson(const std::vector<EndpointReport>& reports)
+    json toJson(const std::vector<EndpointObservation>& reports)
     {
         auto out = json::array();
         for (const auto& report : reports) {
-            out.push_back(
-                json::array({ report.endpoint_.value_, toAge(report.answeredAgo_), toAge(report.failingFor_) }));
+            out.push_back(json::array(
+                { report.endpoint_.value_, toAge(report.answeredAgo_), toAge(report.failingFor_), report.strained_ }));
         }
         return out;
     }
 
-    std::vector<EndpointReport> reportsFrom(const json& in)
+    std::vector<EndpointObservation> reportsFrom(const json& in)
     {
-        std::vector<EndpointReport> reports;
+        std::vector<EndpointObservation> reports;
         for (const auto& report : in)
-            reports.push_back(
-                { EndpointId(report.at(0).get<std::string>()), fromAge(report.at(1)), fromAge(report.at(2)) });
+            reports.push_back({ EndpointId(report.at(0).get<std::string>()), fromAge(report.at(1)),
+                fromAge(report.at(2)), report.at(3).get<bool>() });
         return reports;
     }
 
--- a/src/process/EndpointRegistry.cpp
+++ b/src/process/EndpointRegistry.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-    bool differsForRouting(const EndpointRecord& a, const EndpointRecord& b)
+    bool differsForRouting(const RegisteredEndpoint& a, const RegisteredEndpoint& b)
     {
         return std::tie(a.group_, a.address_, a.dataCentre_, a.born_, a.slots_, a.role_, a.leaving_, a.gone_)
             != std::tie(b.group_, b.address_, b.dataCentre_, b.born_, b.slots_, b.role_, b.leaving_, b.gone_);
     }
 
     // The endpoint that had the address before is gone, because addresses are used again only after their owner.
-    bool takeAddress(EndpointRegistry& registry, const EndpointRecord& record)
+    bool takeAddress(EndpointRegistry& registry, const RegisteredEndpoint& record)
     {
         for (auto& [id, other] : registry.records_) {
             if (id == record.id_ || other.gone_ || other.address_ != record.address_)
@@ -30,7 +30,7 @@
 
 } // namespace
 
-RegistryMerge mergeRecord(EndpointRegistry& registry, EndpointRecord record)
+RegistryMerge mergeRecord(EndpointRegistry& registry, RegisteredEndpoint record)
 {
     const auto known = registry.records_.find(record.id_);
     if (known != registry.records_.end()) {
@@ -77,9 +77,9 @@
     registry.revision_ += dropped > 0 ? 1 : 0;
 }
 
-const EndpointRecord* primaryOf(const EndpointRegistry& registry, const GroupId& group)
+const RegisteredEndpoint* primaryOf(const EndpointRegistry& registry, const GroupId& group)
 {
-    const EndpointRecord* primary = nullptr;
+    const RegisteredEndpoint* primary = nullptr;
     for (const auto& [id, record] : registry.records_) {
         if (record.group_ != group || record.gone_ || record.role_ != EndpointRole::Primary)
             continue;
@@ -89,9 +89,9 @@
     return primary;
 }
 
-std::vector<const EndpointRecord*> endpointsOf(const EndpointRegistry& registry, const GroupId& group)
+std::vector<const RegisteredEndpoint*> endpointsOf(const EndpointRegistry& registry, const GroupId& group)
 {
-    std::vector<const EndpointRecord*> endpoints;
+    std::vector<const RegisteredEndpoint*> endpoints;
     for (const auto& [id, record] : registry.records_) {
         if (record.group_ == group && !record.gone_)
             endpoints.push_back(&record);
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -64,6 +64,16 @@
     load.fullUntil_ = now + fullPause;
 }
 
+void recordStrain(EndpointLoad& load, TimePoint now)
+{
+    load.strained_ = now;
+}
+
+bool isStrained(const EndpointLoad& load, TimePoint now)
+{
+    return load.strained_ != TimePoint() && now - load.strained_ < strainMemory;
+}
+
 bool isFailing(const EndpointLoad& load)
 {
     return load.failingSince_ != TimePoint();
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -29,6 +29,7 @@
         std::size_t failing_ { 0 };
         std::size_t answered_ { 0 }; ///< They have had an answer since it began to fail.
         std::size_t uninformed_ { 0 }; ///< They use it, and know nothing that is newer than the failure.
+        std::size_t strained_ { 0 };
         TimePoint failingSince_ { TimePoint::max() }; ///< By the first instance that sees it fail.
     };
 
@@ -42,6 +43,7 @@
         for (const auto& [instance, view] : views->second) {
             if (turn.now_ - view.reported_ > turn.options_.reportLifetime_)
                 continue;
+            verdict.strained_ += view.strained_ ? 1 : 0;
             if (view.failingFor_ > Duration::zero()) {
                 ++verdict.failing_;
                 verdict.failingSince_ = std::min(verdict.failingSince_, view.reported_ - view.failingFor_);
@@ -56,15 +58,15 @@
         return verdict;
     }
 
-    bool isSilent(const Turn& turn, const EndpointRecord& record)
+    bool isSilent(const Turn& turn, const RegisteredEndpoint& record)
     {
         return turn.now_ - record.heard_ > silentHeartbeats * turn.options_.heartbeatInterval_;
     }
 
-    std::vector<const EndpointRecord*> candidates(const Turn& turn, const GroupId& id, const GroupPromotion& group)
+    std::vector<const RegisteredEndpoint*> candidates(const Turn& turn, const GroupId& id, const GroupPromotion& group)
     {
         auto endpoints = endpointsOf(turn.registry_, id);
-        std::erase_if(endpoints, [&](const EndpointRecord* record) {
+        std::erase_if(endpoints, [&](const RegisteredEndpoint* record) {
             return record->leaving_ || record->id_ == group.primary_ || isSilent(turn, *record);
         });
         return endpoints;
@@ -78,9 +80,16 @@
         enter(turn, group, PromotionPhase::Watching);
     }
 
+    // The primary itself stops and tells where, before another one leads.
+    bool isPlanned(const GroupPromotion& group)
+    {
+        return group.cause_ == PromotionCause::Leaving || group.cause_ == PromotionCause::Strained;
+    }
+
     void beginSurvey(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         group.positions_.clear();
+        group.lags_.clear();
         group.asked_.clear();
         group.granted_.reset();
         group.ordered_.reset();
@@ -89,11 +98,11 @@
         const auto replicas = candidates(turn, id, group);
         // With synchronous replicas, each set of this size holds one that has every acknowledged commit. A primary that
         // leaves is stopped and asked itself.
-        const bool needsOverlap = synchronous > 0 && group.cause_ != PromotionCause::Leaving;
+        const bool needsOverlap = synchronous > 0 && !isPlanned(group);
         // Replicas that are silent or leave count as well: each of them may hold a commit that the others lack.
         const auto all = endpointsOf(turn.registry_, id);
         const auto holders = static_cast<std::size_t>(std::count_if(
-            all.begin(), all.end(), [&](const EndpointRecord* record) { return record->id_ != group.primary_; }));
+            all.begin(), all.end(), [&](const RegisteredEndpoint* record) { return record->id_ != group.primary_; }));
         group.answersNeeded_ = needsOverlap && holders >= synchronous ? holders - synchronous + 1 : 1;
         group.needsPause_ = needsOverlap;
         // The first survey of such a group finds the term above which the second one stops the replicas.
@@ -104,7 +113,7 @@
             if (pauseTerm > 0)
                 group.paused_.insert(record->id_);
         }
-        if (group.cause_ == PromotionCause::Leaving) {
+        if (isPlanned(group)) {
             group.asked_.insert(group.primary_);
             turn.actions_.emplace_back(SurveyAction { group.primary_, 0 });
         }
@@ -116,10 +125,75 @@
         group.cause_ = cause;
         group.refused_.clear();
         group.stoppedAt_ = {};
+        group.surveyedAt_.reset();
         group.highestTerm_ = 0;
         beginSurvey(turn, id, group);
     }
 
+    // Answers the load pattern "all replicas far behind": they hold the log and have only not applied it, so one that
+    // leads serves at once, and the old primary is a replica that has applied everything.
+    bool isStrained(Turn& turn, GroupPromotion& group, const Verdict& verdict)
+    {
+        const auto users = verdict.failing_ + verdict.answered_ + verdict.uninformed_;
+        if (verdict.failing_ > 0 || verdict.strained_ == 0
+            || verdict.strained_ * turn.options_.strainedShare_ < users) {
+            group.strainedSince_.reset();
+            return false;
+        }
+        if (!group.strainedSince_)
+            group.strainedSince_ = turn.now_;
+        return turn.now_ - *group.strainedSince_ >= turn.options_.strainTime_ && turn.now_ >= group.nextRelief_;
+    }
+
+    // The largest age that reads of the group accept.
+    Duration longestAge(const Turn& turn, const GroupId& id)
+    {
+        Duration longest { 0 };
+        for (const auto& route : turn.catalog_.routes_) {
+            if (route.group_ == id)
+                longest = std::max<Duration>(longest, route.maxAge_);
+        }
+        return longest;
+    }
+
+    // Whether all replicas are too far behind for any read, and none of them will change that by itself soon.
+    bool areAllBehind(const Turn& turn, const GroupId& id, const GroupPromotion& group)
+    {
+        const auto longest = longestAge(turn, id);
+        const auto replicas = candidates(turn, id, group);
+        return std::all_of(replicas.begin(), replicas.end(), [&](const RegisteredEndpoint* record) {
+            const auto lag = group.lags_.find(record->id_);
+            return lag != group.lags_.end() && lag->second > longest;
+        });
+    }
+
+    // Chooses whether a strained primary is replaced. Nothing has been stopped yet, so any doubt ends the attempt.
+    void chooseRelief(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        if (!group.asked_.empty() || !areAllBehind(turn, id, group) || !group.positions_.contains(group.primary_)) {
+            group.nextRelief_ = turn.now_ + turn.options_.reliefRetry_;
+            return abandon(turn, group);
+        }
+        // The target must receive, or what the primary acknowledged meanwhile would be lost: two surveys show that.
+        if (!group.surveyedAt_) {
+            group.surveyedAt_ = group.positions_.at(group.primary_);
+            return beginSurvey(turn, id, group);
+        }
+        const RegisteredEndpoint* best = nullptr;
+        for (const auto* record : candidates(turn, id, group)) {
+            const auto position = group.positions_.at(record->id_);
+            if (position >= *group.surveyedAt_ && (!best || position > group.positions_.at(best->id_)))
+                best = record;
+        }
+        group.nextRelief_ = turn.now_ + (best ? turn.options_.reliefInterval_ : turn.options_.reliefRetry_);
+        if (!best)
+            return abandon(turn, group);
+        group.target_ = best->id_;
+        group.granted_.reset();
+        turn.actions_.emplace_back(GrantAction { id, group.target_ });
+        enter(turn, group, PromotionPhase::Granting);
+    }
+
     void watch(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         const auto* primary = primaryOf(turn.registry_, id);
@@ -139,7 +213,10 @@
             return;
         if (primary->leaving_)
             return begin(turn, id, group, PromotionCause::Leaving);
-        const bool isSuspected = verdictOf(turn, primary->id_).failing_ > 0 || isSilent(turn, *primary);
+        const auto verdict = verdictOf(turn, primary->id_);
+        if (isStrained(turn, group, verdict))
+            return begin(turn, id, group, PromotionCause::Strained);
+        const bool isSuspected = verdict.failing_ > 0 || isSilent(turn, *primary);
         if (!isSuspected || turn.now_ - group.lastProbe_ < turn.options_.probeInterval_)
             return;
         group.failedProbes_ = 0;
@@ -174,9 +251,11 @@
         const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
         if (!group.asked_.empty() && !isTimeOver)
             return;
+        if (group.cause_ == PromotionCause::Strained)
+            return chooseRelief(turn, id, group);
         if (group.needsPause_ && group.paused_.empty() && group.highestTerm_ > 0)
             return beginSurvey(turn, id, group);
-        const EndpointRecord* best = nullptr;
+        const RegisteredEndpoint* best = nullptr;
         std::size_t answers = 0;
         for (const auto* record : candidates(turn, id, group)) {
             const auto position = group.positions_.find(record->id_);
@@ -214,7 +293,7 @@
             return;
         if (!*group.granted_)
             return abandon(turn, group);
-        const bool canStop = group.cause_ == PromotionCause::Leaving && group.stoppedAt_ == LogPosition {}
+        const bool canStop = isPlanned(group) && group.target_ != group.primary_ && group.stoppedAt_ == LogPosition {}
             && group.positions_.contains(group.primary_);
         if (!canStop)
             return order(turn, id, group);
@@ -223,13 +302,22 @@
         enter(turn, group, PromotionPhase::SteppingDown);
     }
 
+    // The target may lack what the primary has acknowledged. A primary that leaves has to be replaced all the same; one
+    // that was only strained leads again.
+    void orderAnyway(Turn& turn, const GroupId& id, GroupPromotion& group)
+    {
+        if (group.cause_ == PromotionCause::Strained)
+            group.target_ = group.primary_;
+        order(turn, id, group);
+    }
+
     void afterStepDown(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
         if (group.asked_.contains(group.primary_) && !isTimeOver)
             return;
         if (group.asked_.contains(group.primary_))
-            return order(turn, id, group);
+            return orderAnyway(turn, id, group);
         group.stoppedAt_ = group.positions_[group.primary_];
         group.asked_ = { group.target_ };
         turn.actions_.emplace_back(SurveyAction { group.target_, 0 });
@@ -244,7 +332,8 @@
         // Where replicas confirm commits, none may be lost; the next attempt may find another target.
         if (isTimeOver) {
             const auto* rules = findGroup(turn.catalog_, id);
-            return rules && rules->synchronousReplicas_ > 0 ? abandon(turn, group) : order(turn, id, group);
+            const bool mayLose = group.cause_ == PromotionCause::Strained || !rules || rules->synchronousReplicas_ == 0;
+            return mayLose ? orderAnyway(turn, id, group) : abandon(turn, group);
         }
         if (group.asked_.empty()) {
             group.asked_ = { group.target_ };
@@ -267,7 +356,14 @@
             return enter(turn, group, PromotionPhase::Settling);
         case OrderOutcome::Refused:
             group.refused_.insert(group.target_);
-            return beginSurvey(turn, id, group);
+            if (group.cause_ != PromotionCause::Strained)
+                return beginSurvey(turn, id, group);
+            if (group.target_ == group.primary_)
+                return abandon(turn, group);
+            group.target_ = group.primary_;
+            group.granted_.reset();
+            turn.actions_.emplace_back(GrantAction { id, group.target_ });
+            return enter(turn, group, PromotionPhase::Granting);
         }
     }
 
@@ -320,10 +416,10 @@
 }
 
 void recordReports(
-    PromotionDuty& duty, const InstanceId& instance, const std::vector<EndpointReport>& reports, TimePoint now)
+    PromotionDuty& duty, const InstanceId& instance, const std::vector<EndpointObservation>& reports, TimePoint now)
 {
     for (const auto& report : reports)
-        duty.views_[report.endpoint_][instance] = { now, report.answeredAgo_, report.failingFor_ };
+        duty.views_[report.endpoint_][instance] = { now, report.answeredAgo_, report.failingFor_, report.strained_ };
 }
 
 std::vector<PromotionAction> tickDuty(PromotionDuty& duty, const EndpointRegistry& registry,
@@ -360,8 +456,10 @@
         if (group.phase_ == PromotionPhase::SteppingDown && !result.received_)
             continue;
         group.asked_.erase(result.endpoint_);
-        if (result.received_)
-            group.positions_[result.endpoint_] = *result.received_;
+        if (!result.received_)
+            continue;
+        group.positions_[result.endpoint_] = *result.received_;
+        group.lags_[result.endpoint_] = result.lag_;
     }
 }
 
@@ -413,6 +511,8 @@
         return "leaving";
     case PromotionCause::Missing:
         return "missing";
+    case PromotionCause::Strained:
+        return "strained";
     }
     return "unknown";
 }
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -22,9 +22,9 @@
     return *decoded;
 }
 
-EndpointRecord record()
+RegisteredEndpoint record()
 {
-    EndpointRecord record;
+    RegisteredEndpoint record;
     record.id_ = EndpointId("i-1");
     record.group_ = GroupId("returns");
     record.address_ = "10.0.0.1:80";
--- a/tests/EndpointRegistryTest.cpp
+++ b/tests/EndpointRegistryTest.cpp
@@ -12,9 +12,9 @@
 
 const TimePoint start { 1h };
 
-EndpointRecord record(const std::string& id, std::uint64_t born, std::uint64_t sequence, TimePoint heard = start)
+RegisteredEndpoint record(const std::string& id, std::uint64_t born, std::uint64_t sequence, TimePoint heard = start)
 {
-    EndpointRecord record;
+    RegisteredEndpoint record;
     record.id_ = EndpointId(id);
     record.group_ = GroupId("returns");
     record.address_ = "10.0.0." + id.substr(1) + ":80";
@@ -25,7 +25,7 @@
     return record;
 }
 
-EndpointRecord primary(EndpointRecord record)
+RegisteredEndpoint primary(RegisteredEndpoint record)
 {
     record.role_ = EndpointRole::Primary;
     return record;
@@ -90,7 +90,7 @@
 // Guards against copies that differ after the same reports arrived in different orders.
 TEST_CASE("registries that got the same reports in any order agree")
 {
-    std::vector<EndpointRecord> reports { record("i1", 100, 1), primary(record("i1", 100, 2)), record("i1", 200, 1),
+    std::vector<RegisteredEndpoint> reports { record("i1", 100, 1), primary(record("i1", 100, 2)), record("i1", 200, 1),
         record("i2", 100, 1), primary(record("i2", 100, 3)) };
     std::sort(reports.begin(), reports.end(), [](const auto& a, const auto& b) { return a.sequence_ < b.sequence_; });
     std::optional<EndpointRegistry> first;
--- a/tests/LineProtocolTest.cpp
+++ b/tests/LineProtocolTest.cpp
@@ -88,6 +88,7 @@
 {
     const auto status = decodeStatus("replica 3 3.1209 4 12 2 17");
     REQUIRE(status);
+    CHECK(status->lag_ == std::chrono::milliseconds(12));
     CHECK(status->role_ == EndpointRole::Replica);
     CHECK(status->received_ == LogPosition { 3, 1209 });
     CHECK(status->held_ == 4);
--- a/tests/PlatformDocumentsTest.cpp
+++ b/tests/PlatformDocumentsTest.cpp
@@ -68,7 +68,7 @@
 
 TEST_CASE("a heartbeat is read into a record")
 {
-    std::optional<EndpointRecord> record;
+    std::optional<RegisteredEndpoint> record;
     REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
         BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat("i-7", heartbeat, TimePoint(1h)));
         return {};
--- a/tests/PromotionDutyTest.cpp
+++ b/tests/PromotionDutyTest.cpp
@@ -24,6 +24,8 @@
     std::vector<PromotionAction> all_;
     std::map<EndpointId, LogPosition> positions_ { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 98 } },
         { EndpointId("i3"), { 1, 99 } } };
+    std::map<EndpointId, Duration> lags_;
+    std::optional<LogPosition> stopsAt_; ///< Where i1 stops, if not at its surveyed position.
     std::set<EndpointId> dark_;
     std::optional<OrderOutcome> orderOutcome_ { OrderOutcome::Accepted };
     std::uint64_t fence_ { 0 };
@@ -39,7 +41,7 @@
 
     void report(const std::string& id, EndpointRole role, bool leaving = false)
     {
-        EndpointRecord record;
+        RegisteredEndpoint record;
         record.id_ = EndpointId(id);
         record.group_ = group;
         record.address_ = id + ":80";
@@ -67,11 +69,12 @@
             handleResult(duty_,
                 SurveyResult { survey->endpoint_,
                     answers ? std::optional(positions_.at(survey->endpoint_)) : std::nullopt,
-                    answers ? Term(1) : Term(0) });
+                    answers ? Term(1) : Term(0), lags_[survey->endpoint_] });
         } else if (const auto* stepDown = std::get_if<StepDownAction>(&action)) {
             CHECK(stepDown->term_ == 2);
             if (!dark_.contains(stepDown->endpoint_))
-                handleResult(duty_, SurveyResult { stepDown->endpoint_, positions_.at(stepDown->endpoint_), 1 });
+                handleResult(duty_,
+                    SurveyResult { stepDown->endpoint_, stopsAt_.value_or(positions_.at(stepDown->endpoint_)), 1 });
         } else if (const auto* grant = std::get_if<GrantAction>(&action)) {
             handleResult(duty_, GrantResult { grant->group_, grants_ ? std::optional(++fence_) : std::nullopt });
         } else if (const auto* order = std::get_if<OrderAction>(&action)) {
@@ -101,6 +104,17 @@
         }
     }
 
+    /// All replicas hold the log and have not applied it; one of four instances turns reads away.
+    void strain(Duration time)
+    {
+        catalog_.routes_ = { { .name_ = "audits", .group_ = group, .maxAge_ = 2500ms } };
+        for (const auto end = now_ + time; now_ < end; run(250ms)) {
+            recordReports(duty_, InstanceId("front-1"), { { EndpointId("i1"), 10ms, 0ms, true } }, now_);
+            for (const auto* front : { "front-2", "front-3", "front-4" })
+                seen(front, 10ms, 0ms);
+        }
+    }
+
     template <typename Action> bool did() const
     {
         return std::any_of(
@@ -189,6 +203,63 @@
     CHECK(world.orders_.empty());
 }
 
+// Replays "all replicas far behind": one endpoint of three serves all reads, for as long as the others apply their log.
+TEST_CASE("a strained primary whose replicas have only not applied the log is replaced, and not again at once")
+{
+    World world;
+    world.positions_
+        = { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 100 } }, { EndpointId("i3"), { 1, 100 } } };
+    world.lags_ = { { EndpointId("i2"), 8s }, { EndpointId("i3"), 6s } };
+    const auto begun = world.now_;
+    world.strain(2s);
+    CHECK(world.did<StepDownAction>());
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ != EndpointId("i1"));
+    // Statements are turned away for no longer than the objectives of two of their attempts, 1 s.
+    CHECK(world.orderedAt_ - begun <= 1s);
+    world.report(world.orders_[0].endpoint_.value_, EndpointRole::Primary);
+    world.report("i1", EndpointRole::Replica);
+    world.strain(5s);
+    CHECK(world.orders_.size() == 1);
+}
+
+// Guards against a change of primary that helps nobody or loses commits.
+TEST_CASE("a strained primary is kept while a replica serves reads, or none receives")
+{
+    World near;
+    near.positions_
+        = { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 100 } }, { EndpointId("i3"), { 1, 100 } } };
+    near.lags_ = { { EndpointId("i2"), 8s }, { EndpointId("i3"), 2s } };
+    near.strain(4s);
+    CHECK_FALSE(near.did<StepDownAction>());
+
+    World deaf;
+    deaf.lags_ = { { EndpointId("i2"), 8s }, { EndpointId("i3"), 6s } };
+    deaf.strain(4s);
+    CHECK_FALSE(deaf.did<StepDownAction>());
+    CHECK(deaf.orders_.empty());
+
+    World silent;
+    silent.positions_ = near.positions_;
+    silent.lags_ = { { EndpointId("i2"), 8s }, { EndpointId("i3"), 6s } };
+    silent.dark_.insert(EndpointId("i3"));
+    silent.strain(4s);
+    CHECK_FALSE(silent.did<StepDownAction>());
+}
+
+// Guards against commits that are lost when the chosen replica ceases to receive between survey and stop.
+TEST_CASE("a strained primary leads again when the target does not catch up")
+{
+    World world;
+    world.positions_
+        = { { EndpointId("i1"), { 1, 100 } }, { EndpointId("i2"), { 1, 100 } }, { EndpointId("i3"), { 1, 100 } } };
+    world.lags_ = { { EndpointId("i2"), 8s }, { EndpointId("i3"), 6s } };
+    world.stopsAt_ = LogPosition { 1, 120 };
+    world.strain(3s);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i1"));
+}
+
 // Guards against a commit that the old primary acknowledged last and the new one lacks.
 TEST_CASE("a primary that leaves stops first, and the target catches up")
 {
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -87,6 +87,33 @@
     CHECK(atPrimary <= 6);
 }
 
+// Replays "all replicas far behind": control learns that the primary turns reads away which replicas could serve.
+TEST_CASE("a primary that sheds reads of replicas that are behind is reported as strained")
+{
+    GatewayHarness harness;
+    const auto strained = [&] {
+        bool any = false;
+        harness.onGateway([&](StatementGateway& gateway) {
+            for (const auto& report : gateway.reports())
+                any |= report.strained_;
+        });
+        return any;
+    };
+    const auto reader = harness.client("audits");
+    REQUIRE(waitFor([&] { return isDone(reader->query("READ item")); }));
+    CHECK_FALSE(strained());
+    harness.group().setLag(EndpointId("i-2"), 10s);
+    harness.group().setLag(EndpointId("i-3"), 10s);
+    REQUIRE(isDone(harness.client("receipts")->query("WRITE item x")));
+    harness.server(0).faults().sheds_ = true;
+    CHECK(waitFor([&] {
+        reader->query("READ item");
+        return strained();
+    }));
+    harness.server(0).faults().sheds_ = false;
+    CHECK(waitFor([&] { return !strained(); }));
+}
+
 // Guards against an old primary that answers reads from a log that ended.
 TEST_CASE("a read on a primary route is never answered by a primary that was deposed")
 {
@@ -368,7 +395,7 @@
     harness.server(0).faults().dark_ = true;
     client->send("QUERY dark1 READ item\r\n");
     REQUIRE(waitFor([&] { return suspicions > 0; }, 700ms));
-    std::vector<EndpointReport> reports;
+    std::vector<EndpointObservation> reports;
     harness.onGateway([&](StatementGateway& gateway) { reports = gateway.reports(); });
     REQUIRE(reports.size() == 1);
     CHECK(reports[0].endpoint_ == EndpointId("i-1"));
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -189,12 +189,12 @@
         std::this_thread::sleep_for(1ms);
 }
 
-std::vector<EndpointRecord> GatewayHarness::records()
+std::vector<RegisteredEndpoint> GatewayHarness::records()
 {
-    std::vector<EndpointRecord> records;
+    std::vector<RegisteredEndpoint> records;
     const auto now = suspendAwareNow();
     for (const auto& server : servers_) {
-        EndpointRecord record;
+        RegisteredEndpoint record;
         record.id_ = server->id();
         record.group_ = GroupId("returns");
         record.address_ = server->address();
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -86,7 +86,7 @@
         std::shared_ptr<std::atomic<bool>> done_;
     };
 
-    std::vector<EndpointRecord> records();
+    std::vector<RegisteredEndpoint> records();
 
     standin::LineGroup group_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
