Ask again what an endpoint sheds, notice a cut by probes, and remember the number of instances

Three load patterns of the grown deployments, each seen in a log:

A survey now repeats a shed question every 15 ms within 0.5 s. - A data centre is cut off before instances with 2 statements a second for each group: no statement showed the silence of the primaries. When a control member owes an answer for 100 ms, endpoints that have not answered lately are probed. Test: GatewayTest "an instance without statements notices that a primary is silent". Readiness is looked at every 50 ms. - All machines start at once and there are more instances than connections: the first ones took the few that had asked for all, opened connections everywhere, and opened one to each primary for a sample. Control members remember the number of instances over a restart for 5 s, and a new instance waits 0.5 s for the samples of control members.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -25,6 +25,8 @@
     constexpr auto spreadInterval = 1s;
     // An entry instance that has not asked for this long gets no pushes and does not count.
     constexpr auto instanceLifetime = 3s;
+    // Within this time after a start of this process, instances that were there before it are expected back.
+    constexpr auto returnTime = 5s;
     // Changes in quick succession reach an instance together, because the links of small instances are slow.
     constexpr auto pushInterval = 150ms;
     // A member that is not heard for this long may have a connection that has gone silent.
@@ -84,6 +86,8 @@
     auto copy = store_.load(Clock::now());
     for (auto& record : copy.records_)
         mergeRecord(registry_, std::move(record));
+    instancesBefore_ = copy.instances_;
+    started_ = Clock::now();
     if (copy.catalog_)
         applyCatalog(std::make_shared<const CatalogDocument>(std::move(*copy.catalog_)));
     const auto listener = [this](std::string name, const std::string& address) {
@@ -236,7 +240,7 @@
 
 void ControlHost::saveDirectory()
 {
-    store_.save(registry_, packed_, Clock::now());
+    store_.save(registry_, packed_, expectedInstances(), Clock::now());
 }
 
 void ControlHost::receive(const Answered& message)
@@ -502,6 +506,14 @@
     return { all.begin(), all.end() };
 }
 
+// Answers the load pattern "all machines start at once": the first instances that ask must not take the connections of
+// those that ask a moment later.
+std::size_t ControlHost::expectedInstances() const
+{
+    const auto asked = entryInstances().size();
+    return Clock::now() - started_ < returnTime ? std::max(asked, instancesBefore_) : asked;
+}
+
 void ControlHost::sendDirectory(const InstanceId& recipient, const DirectoryMessage& message)
 {
     peers_.send(recipient.value_, PeerMessageKind::Directory, encodeDirectoryMessage(message, Clock::now()));
@@ -544,7 +556,7 @@
         answer.members_.push_back(member.instance_);
     const auto all = entryInstances();
     answer.samples_ = sampler_.samples();
-    answer.instances_ = all.size();
+    answer.instances_ = expectedInstances();
     answer.rank_ = static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), id) - all.begin());
     return answer;
 }
@@ -602,7 +614,7 @@
     pushDueFeeds();
     duty_.tick();
     if (catalog_)
-        sampler_.tick(*catalog_, entryInstances().size());
+        sampler_.tick(*catalog_, expectedInstances());
     loop_.schedule(now + tickInterval, [this] { tick(); });
 }
 
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -113,6 +113,7 @@
     bool inContact() const;
     std::vector<InstanceId> otherMembers() const;
     std::vector<InstanceId> entryInstances() const;
+    std::size_t expectedInstances() const;
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
     void spread(std::vector<RegisteredEndpoint>);
     void registryChanged();
@@ -144,6 +145,8 @@
     std::map<InstanceId, EntryInstance> instances_;
     std::map<InstanceId, Member> members_;
     TimePoint nextSpread_;
+    std::size_t instancesBefore_ { 0 }; ///< Entry instances before the start of this process.
+    TimePoint started_;
 };
 
 } // namespace cassiahollow
--- a/daemon/process/DirectoryStore.cpp
+++ b/daemon/process/DirectoryStore.cpp
@@ -74,7 +74,7 @@
             auto* feed = std::get_if<FeedAnswer>(&message);
             if (!feed || !feed->records_)
                 return boost::leaf::new_error(Failure { Reason::MessageMalformed, "not a copy of the directory" });
-            DirectoryCopy copy { std::move(*feed->records_), std::nullopt };
+            DirectoryCopy copy { std::move(*feed->records_), std::nullopt, feed->instances_ };
             for (auto& record : copy.records_)
                 record.heard_ = now;
             if (feed->catalog_) {
@@ -86,10 +86,12 @@
         [&] { return unreadable("unknown error"); });
 }
 
-void DirectoryStore::save(const EndpointRegistry& registry, std::shared_ptr<const PackedCatalog> catalog, TimePoint now)
+void DirectoryStore::save(const EndpointRegistry& registry, std::shared_ptr<const PackedCatalog> catalog,
+    std::size_t instances, TimePoint now)
 {
     FeedAnswer copy;
     copy.catalog_ = std::move(catalog);
+    copy.instances_ = instances;
     copy.records_.emplace();
     for (const auto& [id, record] : registry.records_)
         copy.records_->push_back(record);
--- a/daemon/process/DirectoryStore.h
+++ b/daemon/process/DirectoryStore.h
@@ -17,6 +17,7 @@
 struct DirectoryCopy {
     std::vector<RegisteredEndpoint> records_;
     std::optional<CatalogDocument> catalog_; ///< A committed catalog, perhaps not the newest.
+    std::size_t instances_ { 0 }; ///< The entry instances there were.
 };
 
 /// Keeps a copy of the endpoint registry and of the catalog in force in a file, so that control members that all lost
@@ -34,7 +35,8 @@
     /// The last copy; its records count as heard at `now`. Empty when there is none that can be read.
     DirectoryCopy load(TimePoint now) const;
     /// Replaces the copy soon. Does not wait for the disk. `catalog` may be null.
-    void save(const EndpointRegistry&, std::shared_ptr<const PackedCatalog> catalog, TimePoint now);
+    void save(
+        const EndpointRegistry&, std::shared_ptr<const PackedCatalog> catalog, std::size_t instances, TimePoint now);
 
 private:
     void run();
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -19,6 +19,10 @@
     // Without a catalog nothing can be served, so a new instance asks as often as a round trip with the opening of two
     // connections allows.
     constexpr auto firstAskInterval = 40ms;
+    // A member usually answers within a few round trips. When it does not, endpoints are asked whether the instance is
+    // cut off.
+    constexpr auto answerTime = 100ms;
+    constexpr auto readinessInterval = 50ms;
     // Without answers to this many questions in a row, another member is asked.
     constexpr std::uint64_t unansweredLimit = 2;
     // A new instance asks another member each time: after a loss of power most of them may not have started yet.
@@ -72,6 +76,7 @@
     }
     BOOST_LEAF_CHECK(clients_.start());
     ask();
+    updateReadiness();
     LogLine(LogKind::Lifecycle, "started").with("role", "entry").with("peers", settings_.peers_);
     return {};
 }
@@ -224,6 +229,7 @@
     }
     const bool isolated = readiness == Readiness::Isolated;
     gateway_.setIsolated(isolated, isolated && now - readinessSince_ > rotationTime);
+    loop_.schedule(Clock::now() + readinessInterval, [this] { updateReadiness(); });
 }
 
 void GatewayTask::chooseMember()
@@ -264,6 +270,10 @@
     askedAt_ = suspendAwareNow();
     ++unanswered_;
     peers_.send(member_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
+    loop_.schedule(Clock::now() + answerTime, [this, number = number_] {
+        if (number == number_ && unanswered_ > 0)
+            gateway_.probeEndpoints();
+    });
 }
 
 // Tells the leader that an endpoint has begun to fail, before the next regular question.
@@ -280,7 +290,6 @@
 void GatewayTask::ask()
 {
     askNow();
-    updateReadiness();
     // What a member without a majority says may be old, so a new instance goes on asking after it has begun to serve.
     loop_.schedule(Clock::now() + (hasBeenConfirmed_ ? askInterval : firstAskInterval), [this] { ask(); });
 }
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -24,6 +24,11 @@
     // A connection whose answer is overdue is closed this long after its last use: the instance's own statements have
     // no time limit of a route.
     constexpr auto answerGrace = 500ms;
+    // The first samples of control members arrive within this time after their start: a connection to each primary, and
+    // two questions of the instance.
+    constexpr auto sharedSampleTime = 500ms;
+    // An endpoint that answered within this time needs no probe: with silenceLimit, it is shorter than isolationTime.
+    constexpr auto recentAnswer = 100ms;
     // Endpoints that were not used for this long are not reported.
     constexpr auto reportedUse = 5s;
 
@@ -33,7 +38,7 @@
 {
     auto& group = groups_[id];
     if (!group)
-        group = std::make_unique<Group>(id);
+        group = std::make_unique<Group>(id, suspendAwareNow());
     return *group;
 }
 
@@ -229,7 +234,8 @@
 void StatementGateway::openWanted(Group& group)
 {
     auto* first = primary(group);
-    const bool wantsPrimary = group.primaryQueue_.waiting_ > 0 || (!group.awaitSample_.empty() && !group.sampling_);
+    const bool wantsPrimary = group.primaryQueue_.waiting_ > 0
+        || (!group.awaitSample_.empty() && !group.sampling_ && !awaitsSharedSample(group));
     const auto wantsLink = [](const Endpoint& endpoint) {
         return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < static_cast<std::size_t>(endpoint.load_.window_);
     };
@@ -311,6 +317,53 @@
     loop_.schedule(Clock::now() + openPause, retryOpen);
 }
 
+// While connections are scarce, control members sample for all: an instance that has just started waits for them.
+bool StatementGateway::awaitsSharedSample(const Group& group) const
+{
+    return isScarceFor(group.id_) && suspendAwareNow() - group.known_ < sharedSampleTime;
+}
+
+EndpointLinkPtr StatementGateway::restingLink(const Endpoint& endpoint)
+{
+    const auto found = std::find_if(endpoint.links_.begin(), endpoint.links_.end(),
+        [](const EndpointLinkPtr& link) { return link->isReady() && !link->taken_; });
+    return found == endpoint.links_.end() ? nullptr : *found;
+}
+
+// The endpoint whose silence shows that the group is out of reach. While connections are scarce, an instance keeps none
+// to the primary, and its replica has to do.
+const StatementGateway::Endpoint* StatementGateway::witness(const Group& group) const
+{
+    const auto* first = primary(group);
+    return first && first->links_.empty() && isScarceFor(group.id_) ? preferred(group) : first;
+}
+
+void StatementGateway::probeEndpoints()
+{
+    const auto now = suspendAwareNow();
+    for (const auto& [id, group] : groups_) {
+        const auto* known = witness(*group);
+        if (!known || isFailing(known->load_) || now - known->load_.answered_ < recentAnswer)
+            continue;
+        auto& endpoint = *find(known->record_.id_);
+        const auto link = restingLink(endpoint);
+        const bool isAsked = endpoint.probed_ > endpoint.load_.answered_;
+        if (!link || isAsked)
+            continue;
+        endpoint.probed_ = now;
+        link->taken_ = true;
+        link->used_ = now;
+        link->exchange(platform::encodeOwn(platform::beginReadText()), [](const EndpointReply*) {});
+        link->exchange(platform::encodeOwn(platform::rollbackText()), [this, link](const EndpointReply* reply) {
+            if (auto* asked = find(link->endpoint()); asked && reply) {
+                asked->load_.answered_ = suspendAwareNow();
+                asked->load_.failingSince_ = {};
+            }
+            freeLink(link, reply != nullptr && reply->mark_ == platform::SessionMark::Idle);
+        });
+    }
+}
+
 void StatementGateway::requestSample(Group& group)
 {
     if (group.sampling_)
@@ -318,13 +371,9 @@
     auto* first = primary(group);
     if (!first)
         return;
-    EndpointLinkPtr link;
-    for (const auto& candidate : first->links_) {
-        if (candidate->isReady() && !candidate->taken_)
-            link = candidate;
-    }
+    const auto link = restingLink(*first);
     if (!link) {
-        if (first->links_.empty())
+        if (first->links_.empty() && !awaitsSharedSample(group))
             openLink(*first);
         return;
     }
@@ -361,7 +410,8 @@
         std::count_if(catalog_->groups_.begin(), catalog_->groups_.end(), [this](const GroupRules& rules) {
             const auto group = groups_.find(rules.group_);
             const auto* first = group == groups_.end() ? nullptr : primary(*group->second);
-            return !first || isFailing(first->load_);
+            const auto* asked = first ? witness(*group->second) : nullptr;
+            return !first || isFailing(first->load_) || (asked && isFailing(asked->load_));
         }));
 }
 
@@ -402,6 +452,11 @@
 void StatementGateway::watchSilence()
 {
     const auto now = suspendAwareNow();
+    for (auto& [id, endpoint] : endpoints_) {
+        const bool isSilent = endpoint->probed_ > endpoint->load_.answered_ && now - endpoint->probed_ > silenceLimit;
+        if (isSilent && !isFailing(endpoint->load_))
+            suspect(*endpoint);
+    }
     for (auto& [id, group] : groups_) {
         std::vector<JobPtr> late;
         for (const auto& job : group->jobs_) {
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -58,6 +58,7 @@
     std::vector<EndpointLinkPtr> links_;
     TimePoint leavingSince_;
     TimePoint openFailed_;
+    TimePoint probed_; ///< The last sign of life was asked for.
     int openFailures_ { 0 };
 
     std::size_t idleLinks() const
@@ -74,8 +75,9 @@
 };
 
 struct StatementGateway::Group {
-    explicit Group(GroupId id)
+    Group(GroupId id, TimePoint known)
         : id_(std::move(id))
+        , known_(known)
         , primaryQueue_({ .slots_ = 1, .initialServiceTime_ = firstServiceTime })
         , readQueue_({ .slots_ = 1, .initialServiceTime_ = firstServiceTime })
     {
@@ -85,6 +87,7 @@
     static constexpr std::chrono::milliseconds firstServiceTime { 10 };
 
     GroupId id_;
+    const TimePoint known_; ///< When this instance first heard of the group.
     AdmissionQueue primaryQueue_; ///< Statements that only the primary may run.
     AdmissionQueue readQueue_; ///< Reads with a floor, for any endpoint.
     PositionSamples samples_;
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -55,6 +55,9 @@
     std::uint64_t catalogVersion() const { return catalog_ ? catalog_->version_ : 0; }
     bool hasEndpoints() const { return !registry_.records_.empty(); }
 
+    /// Asks the endpoints that matter for unreachableGroups() for a sign of life, if they have not answered lately. Few
+    /// statements reach an instance of many, so their silence alone would show late that it is cut off.
+    void probeEndpoints();
     /// The groups of the catalog, and those whose primary does not answer this instance.
     std::size_t groups() const { return catalog_ ? catalog_->groups_.size() : 0; }
     std::size_t unreachableGroups() const;
@@ -135,6 +138,9 @@
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
     void requestSample(Group&);
+    bool awaitsSharedSample(const Group&) const;
+    static EndpointLinkPtr restingLink(const Endpoint&);
+    const Endpoint* witness(const Group&) const;
     void sampled(Group&, const PositionSample&);
     void watchSilence();
     void closeSpareLinks();
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -14,7 +14,9 @@
     // longer and is in use by others is kept by their reports.
     constexpr auto probeTime = 250ms;
     // Connecting takes an endpoint 12 ms of a slot; a survey counts for PromotionOptions::surveyTime_.
-    constexpr auto surveyTime = 400ms;
+    constexpr auto surveyTime = 500ms;
+    // An endpoint that sheds the question is asked again after about the time in which it works off one statement.
+    constexpr auto surveyRetry = 15ms;
     // A promotion takes up to a second at the authority.
     constexpr auto orderTime = 1500ms;
 
@@ -48,7 +50,10 @@
     // One conversation with an endpoint: start, an optional order, and the status question.
     struct Survey : boost::intrusive_ref_counter<Survey, boost::thread_unsafe_counter> {
         LineChannelPtr channel_;
-        std::string pending_; ///< Sent once the session has started.
+        std::string question_; ///< Sent once the session has started, and again after it was shed.
+        bool isDue_ { true }; ///< To be sent when the endpoint is ready for it.
+        bool wasShed_ { false };
+        std::function<void()> askLater_;
         std::optional<platform::DatabaseStatus> status_;
         std::function<void(const std::optional<platform::DatabaseStatus>&)> done_;
 
@@ -66,10 +71,15 @@
             if (const auto* row = std::get_if<platform::EndpointRow>(&message)) {
                 status_ = platform::decodeStatus(row->text_);
             } else if (std::holds_alternative<platform::EndpointReady>(message)) {
-                if (!pending_.empty())
-                    channel_->send(std::exchange(pending_, {}));
+                if (std::exchange(wasShed_, false))
+                    askLater_();
+                else if (std::exchange(isDue_, false))
+                    channel_->send(question_);
                 else
                     finish();
+            } else if (const auto* error = std::get_if<platform::EndpointError>(&message);
+                       error && error->error_ == StatementError::Overloaded && !isDue_) {
+                wasShed_ = true;
             } else if (!std::holds_alternative<platform::EndpointComplete>(message)) {
                 status_.reset();
                 finish();
@@ -207,7 +217,7 @@
     if (record == registry_.records_.end())
         return;
     const boost::intrusive_ptr<Survey> survey(new Survey);
-    survey->pending_ = platform::encodeOwn(order.empty() ? std::string(platform::statusText()) : order);
+    survey->question_ = platform::encodeOwn(order.empty() ? std::string(platform::statusText()) : order);
     survey->done_
         = [this, owner = alive_, reign = reign_, endpoint](const std::optional<platform::DatabaseStatus>& status) {
               if (!*owner)
@@ -230,6 +240,12 @@
         { .opened_ = {},
             .received_ = [survey](std::string_view bytes) { return survey->receive(bytes); },
             .closed_ = [survey] { survey->finish(); } });
+    survey->askLater_ = [this, survey = survey.get()] {
+        loop_.schedule(Clock::now() + surveyRetry, [kept = boost::intrusive_ptr<Survey>(survey)] {
+            if (kept->done_)
+                kept->channel_->send(kept->question_);
+        });
+    };
     survey->channel_->send(platform::encodeStart(record->second.group_, options_.holder_, endpoint));
     loop_.schedule(Clock::now() + surveyTime, [survey] { survey->finish(); });
 }
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -152,6 +152,9 @@
     int probesNeeded_ { 2 };
     /// How long replicas are waited for that do not answer a survey.
     Duration surveyTime_ { std::chrono::milliseconds(300) };
+    /// The same for a strained primary, which serves on meanwhile: it may shed some of the questions, and the one that
+    /// it takes waits behind a full queue.
+    Duration reliefSurveyTime_ { std::chrono::milliseconds(500) };
     /// How long a replica may take to catch up with a primary that has stopped.
     Duration catchUpTime_ { std::chrono::milliseconds(500) };
     /// How long an accepted or unanswered order may take to show in the registry.
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -86,6 +86,11 @@
         return group.cause_ == PromotionCause::Leaving || group.cause_ == PromotionCause::Strained;
     }
 
+    Duration surveyTime(const Turn& turn, const GroupPromotion& group)
+    {
+        return group.cause_ == PromotionCause::Strained ? turn.options_.reliefSurveyTime_ : turn.options_.surveyTime_;
+    }
+
     void beginSurvey(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
         group.positions_.clear();
@@ -248,7 +253,7 @@
 
     void chooseTarget(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
-        const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
+        const bool isTimeOver = turn.now_ - group.phaseSince_ > surveyTime(turn, group);
         if (!group.asked_.empty() && !isTimeOver)
             return;
         if (group.cause_ == PromotionCause::Strained)
@@ -313,7 +318,7 @@
 
     void afterStepDown(Turn& turn, const GroupId& id, GroupPromotion& group)
     {
-        const bool isTimeOver = turn.now_ - group.phaseSince_ > turn.options_.surveyTime_;
+        const bool isTimeOver = turn.now_ - group.phaseSince_ > surveyTime(turn, group);
         if (group.asked_.contains(group.primary_) && !isTimeOver)
             return;
         if (group.asked_.contains(group.primary_))
--- a/standin/LineServer.cpp
+++ b/standin/LineServer.cpp
@@ -174,6 +174,8 @@
     std::string control(const std::string& verb, const std::string& text)
     {
         auto& group = server_.group_;
+        if (server_.faults_.shedsFirstOrder_ && !std::exchange(shedOrder_, true))
+            return error("BUSY");
         if (verb == "STEPDOWN")
             group.stepDown(server_.id_, std::stoull(text));
         const std::string role = group.isPrimary(server_.id_) ? "primary" : "replica";
@@ -253,6 +255,7 @@
     std::map<std::string, bool> prepared_; ///< Whether the shape writes.
     std::map<std::string, std::string> writes_; ///< Of the open transaction.
     bool transaction_ { false };
+    bool shedOrder_ { false };
     bool plain_ { false };
     bool failed_ { false };
 };
--- a/standin/LineServer.h
+++ b/standin/LineServer.h
@@ -27,6 +27,7 @@
     std::atomic<int> loseAnswers_ { 0 }; ///< Runs this many statements of clients without an answer.
     std::atomic<int> cutAnswers_ { 0 }; ///< Runs this many statements of clients and closes instead of answering.
     std::atomic<bool> sheds_ { false };
+    std::atomic<bool> shedsFirstOrder_ { false }; ///< Of each session: the first question for the status or order.
     std::atomic<int> delayMs_ { 0 }; ///< Before each answer to a client's statement.
     std::atomic<std::size_t> connectionLimit_ { 1000 };
 };
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -1,3 +1,5 @@
+#include "cassiahollow/process/Readiness.h"
+#include "process/SuspendAwareClock.h"
 #include "support/GatewayHarness.h"
 
 #include <catch2/catch.hpp>
@@ -384,6 +386,48 @@
     CHECK(harness.group().commits().size() == 1);
 }
 
+// Replays "all machines start at once" with more instances than connections: each read would open one to the primary.
+TEST_CASE("while connections are scarce a new instance waits for the samples of control members")
+{
+    GatewayHarness::Options options;
+    options.connectionLimit_ = 4;
+    options.instances_ = 10;
+    GatewayHarness harness(options);
+    const auto client = harness.client("audits");
+    client->send("QUERY early READ item\r\n");
+    std::this_thread::sleep_for(100ms);
+    CHECK(harness.server(0).connections() == 0);
+    harness.onGateway([&](StatementGateway& gateway) {
+        gateway.addSample(GroupId("returns"), { suspendAwareNow(), harness.group().position(EndpointId("i-1")) });
+    });
+    CHECK(isDone(client->receive()));
+    CHECK(harness.server(0).connections() == 0);
+}
+
+// Replays "a data centre is cut off" at an instance with little traffic: no statement shows the silence.
+TEST_CASE("an instance without statements notices that a primary is silent")
+{
+    GatewayHarness harness;
+    const auto client = harness.client("verdicts");
+    REQUIRE(isDone(client->query("WRITE item a")));
+    const auto unreachable = [&] {
+        std::size_t groups = 0;
+        harness.onGateway([&](StatementGateway& gateway) {
+            gateway.probeEndpoints();
+            groups = gateway.unreachableGroups();
+        });
+        return groups;
+    };
+    std::this_thread::sleep_for(silenceLimit);
+    CHECK(unreachable() == 0);
+    harness.server(0).faults().dark_ = true;
+    // An isolated instance has to be known as such within isolationTime.
+    CHECK(waitFor(
+        [&] { return unreachable() == 1; }, std::chrono::duration_cast<std::chrono::milliseconds>(isolationTime)));
+    harness.server(0).faults().dark_ = false;
+    CHECK(waitFor([&] { return unreachable() == 0; }));
+}
+
 // Guards against a database that has gone dark holding all who use it, and against a report that names nobody.
 TEST_CASE("a dark primary is reported, and its statements are answered when another leads")
 {
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -170,7 +170,7 @@
         }
     });
     gateway_.setCatalog(std::make_shared<const RouteCatalog>(catalogOf(options)));
-    gateway_.setShare(1, 0);
+    gateway_.setShare(options.instances_, 0);
     gateway_.setEndpoints(records());
     thread_ = std::thread([this] { loop_.run(); });
 }
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -54,6 +54,7 @@
 public:
     struct Options {
         std::size_t connectionLimit_ { 40 };
+        std::size_t instances_ { 1 };
         std::chrono::milliseconds statementTimeout_ { 800 };
         std::chrono::milliseconds idleTransaction_ { 3000 };
         std::chrono::milliseconds maxAge_ { 2500 };
