--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -135,19 +135,23 @@
         beginSurvey(turn, id, group);
     }
 
-    // Answers the load pattern "all replicas far behind": they hold the log and have only not applied it, so one that
-    // leads serves at once, and the old primary is a replica that has applied everything.
-    bool isStrained(Turn& turn, GroupPromotion& group, const Verdict& verdict)
+    void recordStrain(const Turn& turn, GroupPromotion& group, const Verdict& verdict)
     {
         const auto users = verdict.failing_ + verdict.answered_ + verdict.uninformed_;
-        if (verdict.failing_ > 0 || verdict.strained_ == 0
-            || verdict.strained_ * turn.options_.strainedShare_ < users) {
+        const bool isStrained = verdict.failing_ == 0 && verdict.strained_ > 0
+            && verdict.strained_ * turn.options_.strainedShare_ >= users;
+        if (!isStrained)
             group.strainedSince_.reset();
-            return false;
-        }
-        if (!group.strainedSince_)
+        else if (!group.strainedSince_)
             group.strainedSince_ = turn.now_;
-        return turn.now_ - *group.strainedSince_ >= turn.options_.strainTime_ && turn.now_ >= group.nextRelief_;
+    }
+
+    // Answers the load pattern "all replicas far behind": they hold the log and have only not applied it, so one that
+    // leads serves at once, and the old primary is a replica that has applied everything.
+    bool needsRelief(const Turn& turn, const GroupPromotion& group)
+    {
+        return group.strainedSince_ && turn.now_ - *group.strainedSince_ >= turn.options_.strainTime_
+            && turn.now_ >= group.nextRelief_;
     }
 
     // The largest age that reads of the group accept.
@@ -219,7 +223,8 @@
         if (primary->leaving_)
             return begin(turn, id, group, PromotionCause::Leaving);
         const auto verdict = verdictOf(turn, primary->id_);
-        if (isStrained(turn, group, verdict))
+        recordStrain(turn, group, verdict);
+        if (needsRelief(turn, group))
             return begin(turn, id, group, PromotionCause::Strained);
         const bool isSuspected = verdict.failing_ > 0 || isSilent(turn, *primary);
         if (!isSuspected || turn.now_ - group.lastProbe_ < turn.options_.probeInterval_)
