Date the majority's last sign of life, and understand messages of an earlier version

A control member on the same side counts itself in contact for 1.2 s after the majority's last message, and an instance that asked it dated that contact by its own question. The answer now states the age of the contact, and probes follow from that age instead of from an unanswered question. Ruled out: too few probes (they were never sent, because the member answered).

Test, written with the change: DirectoryFeedTest "messages of an earlier version are understood".

DirectoryFeedTest, GatewayTest and NodeTest pass.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -542,6 +542,8 @@
 {
     FeedAnswer answer;
     answer.confirmed_ = inContact();
+    if (answer.confirmed_)
+        answer.contactAge_ = std::max(Duration::zero(), Clock::now() - control_->lastContact());
     answer.catalogVersion_ = document_ ? document_->version_ : 0;
     if (document_ && document_->version_ > instance.catalogVersion_)
         answer.catalog_ = packed_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -19,9 +19,9 @@
     // Without a catalog nothing can be served, so a new instance asks as often as a round trip with the opening of two
     // connections allows.
     constexpr auto firstAskInterval = 40ms;
-    // A member usually answers within a few round trips. When it does not, endpoints are asked whether the instance is
-    // cut off.
-    constexpr auto answerTime = 100ms;
+    // The majority's last sign of life is usually younger than this: an interval of the feed, and a heartbeat. When it
+    // is not, endpoints are asked whether the instance is cut off.
+    constexpr auto contactDoubt = 450ms;
     constexpr auto readinessInterval = 50ms;
     // Without answers to this many questions in a row, another member is asked.
     constexpr std::uint64_t unansweredLimit = 2;
@@ -155,7 +155,8 @@
         if (answer.confirmed_) {
             if (!std::exchange(hasBeenConfirmed_, true))
                 LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
-            confirmed_ = askedAt_;
+            // The member may have lost its majority since; it says so only after a while.
+            confirmed_ = std::max(confirmed_, askedAt_ - answer.contactAge_);
         } else {
             // Cut off from the majority: what it says may be old.
             chooseMember();
@@ -227,6 +228,8 @@
         readiness_ = readiness;
         readinessSince_ = now;
     }
+    if (hasBeenConfirmed_ && now - confirmed_ > contactDoubt)
+        gateway_.probeEndpoints();
     const bool isolated = readiness == Readiness::Isolated;
     gateway_.setIsolated(isolated, isolated && now - readinessSince_ > rotationTime);
     loop_.schedule(Clock::now() + readinessInterval, [this] { updateReadiness(); });
@@ -270,10 +273,6 @@
     askedAt_ = suspendAwareNow();
     ++unanswered_;
     peers_.send(member_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
-    loop_.schedule(Clock::now() + answerTime, [this, number = number_] {
-        if (number == number_ && unanswered_ > 0)
-            gateway_.probeEndpoints();
-    });
 }
 
 // Tells the leader that an endpoint has begun to fail, before the next regular question.
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -54,6 +54,7 @@
 struct FeedAnswer {
     std::uint64_t number_ { 0 }; ///< 0: not asked for.
     bool confirmed_ { false }; ///< The member was in contact with a majority of control members just before.
+    Duration contactAge_ { 0 }; ///< Since that contact.
     std::uint64_t catalogVersion_ { 0 };
     std::shared_ptr<const PackedCatalog> catalog_; ///< Null when the asker has it.
     std::string registryMark_; ///< Process and revision of the records.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -107,9 +107,11 @@
     std::vector<EndpointObservation> reportsFrom(const json& in)
     {
         std::vector<EndpointObservation> reports;
-        for (const auto& report : in)
+        for (const auto& report : in) {
+            const bool strained = report.size() > 3 && report.at(3).get<bool>(); // Earlier versions have three fields.
             reports.push_back({ EndpointId(report.at(0).get<std::string>()), fromAge(report.at(1)),
-                fromAge(report.at(2)), report.at(3).get<bool>() });
+                fromAge(report.at(2)), strained });
+        }
         return reports;
     }
 
@@ -146,7 +148,8 @@
                 json::binary({ message.catalog_->bytes_.begin(), message.catalog_->bytes_.end() }) })
                              : json(),
             message.registryMark_, message.records_ ? toJson(*message.records_, now) : json(), message.leader_.value_,
-            toJson(message.members_), message.instances_, message.rank_, toJson(message.samples_) });
+            toJson(message.members_), message.instances_, message.rank_, toJson(message.samples_),
+            toAge(message.contactAge_) });
     }
 
     json toJson(const RegistryUpdate& message, TimePoint now)
@@ -185,6 +188,8 @@
         answer.instances_ = in.at(9).get<std::size_t>();
         answer.rank_ = in.at(10).get<std::size_t>();
         answer.samples_ = samplesFrom(in.at(11));
+        if (in.size() > 12) // Answers of earlier versions end here.
+            answer.contactAge_ = fromAge(in.at(12));
         return answer;
     }
 
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -3,6 +3,8 @@
 #include "TestFailure.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
 
 using namespace cassiahollow;
 using namespace std::chrono_literals;
@@ -22,6 +24,22 @@
     return *decoded;
 }
 
+/// The message as an instance of an earlier version would have sent it.
+DirectoryMessage carriedWithout(const DirectoryMessage& message, const std::function<void(nlohmann::json&)>& remove)
+{
+    const auto bytes = encodeDirectoryMessage(message, senderNow);
+    auto fields = nlohmann::json::from_msgpack(bytes);
+    remove(fields);
+    std::string older;
+    nlohmann::json::to_msgpack(fields, older);
+    std::optional<DirectoryMessage> decoded;
+    REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_ASSIGN(decoded, decodeDirectoryMessage(older, receiverNow));
+        return {};
+    }));
+    return *decoded;
+}
+
 RegisteredEndpoint record()
 {
     RegisteredEndpoint record;
@@ -74,6 +92,7 @@
     FeedAnswer answer;
     answer.number_ = 7;
     answer.confirmed_ = true;
+    answer.contactAge_ = 130ms;
     answer.catalogVersion_ = 13;
     const std::string anyBytes("\x00\xff{\"", 4);
     answer.catalog_ = std::make_shared<const PackedCatalog>(packCatalog({ 13, anyBytes }));
@@ -83,6 +102,7 @@
     answer.rank_ = 4;
     const auto answered = std::get<FeedAnswer>(carried(answer));
     CHECK(answered.confirmed_);
+    CHECK(answered.contactAge_ == 130ms);
     REQUIRE(answered.catalog_);
     CHECK_FALSE(failureOf([&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(document, unpackCatalog(*answered.catalog_));
@@ -131,3 +151,22 @@
         CHECK(refused({ 4, packed.bytes_.substr(0, size) }));
     CHECK(refused({ 4, std::string("\xff\xff\xff\xff", 4) + packed.bytes_.substr(4) }));
 }
+
+// Guards against an upgrade in which instances of two versions do not understand each other.
+TEST_CASE("messages of an earlier version are understood")
+{
+    FeedAnswer answer;
+    answer.number_ = 4;
+    answer.contactAge_ = 130ms;
+    const auto answered = carriedWithout(answer, [](nlohmann::json& fields) { fields.erase(fields.size() - 1); });
+    CHECK(std::get<FeedAnswer>(answered).number_ == 4);
+    CHECK(std::get<FeedAnswer>(answered).contactAge_ == 0ms);
+
+    FeedRequest request;
+    request.reports_ = { { EndpointId("i-1"), 10ms, 20ms, true } };
+    const auto asked = carriedWithout(request, [](nlohmann::json& fields) { fields.at(6).at(0).erase(3); });
+    const auto& reports = std::get<FeedRequest>(asked).reports_;
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].failingFor_ == 20ms);
+    CHECK_FALSE(reports[0].strained_);
+}
