Count the entry instances once for each feed answer

feedFor() built the set of all entry instances for the rank and again, through expectedInstances(), for the number: twice for each answer, 4 answers a second to each instance. The count is passed in now.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -240,7 +240,7 @@
 
 void ControlHost::saveDirectory()
 {
-    store_.save(registry_, packed_, expectedInstances(), Clock::now());
+    store_.save(registry_, packed_, expectedInstances(entryInstances().size()), Clock::now());
 }
 
 void ControlHost::receive(const Answered& message)
@@ -508,9 +508,8 @@
 
 // Answers the load pattern "all machines start at once": the first instances that ask must not take the connections of
 // those that ask a moment later.
-std::size_t ControlHost::expectedInstances() const
+std::size_t ControlHost::expectedInstances(std::size_t asked) const
 {
-    const auto asked = entryInstances().size();
     return Clock::now() - started_ < returnTime ? std::max(asked, instancesBefore_) : asked;
 }
 
@@ -558,7 +557,7 @@
         answer.members_.push_back(member.instance_);
     const auto all = entryInstances();
     answer.samples_ = sampler_.samples();
-    answer.instances_ = expectedInstances();
+    answer.instances_ = expectedInstances(all.size());
     answer.rank_ = static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), id) - all.begin());
     return answer;
 }
@@ -616,7 +615,7 @@
     pushDueFeeds();
     duty_.tick();
     if (catalog_)
-        sampler_.tick(*catalog_, expectedInstances());
+        sampler_.tick(*catalog_, expectedInstances(entryInstances().size()));
     loop_.schedule(now + tickInterval, [this] { tick(); });
 }
 
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -113,7 +113,7 @@
     bool inContact() const;
     std::vector<InstanceId> otherMembers() const;
     std::vector<InstanceId> entryInstances() const;
-    std::size_t expectedInstances() const;
+    std::size_t expectedInstances(std::size_t asked) const;
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
     void spread(std::vector<RegisteredEndpoint>);
     void registryChanged();
