Report why a control member takes no part in the control log

A member now writes control_impaired with the cause, the voters, the members that it hears and those that it knows, 2 s after the cause began, and control_restored when it is over. Gauges carry the same for metrics. No decision depends on them.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -32,6 +32,8 @@
     // A member that is not heard for this long may have a connection that has gone silent.
     constexpr auto memberSilence = 1500ms;
     constexpr auto storageRetry = 500ms;
+    // Elections, restarts and the admission of a member are over within this time.
+    constexpr auto impairmentReportTime = 2s;
     // Entries after which a snapshot is written, and entries kept behind it: a catalog of 350 routes has about 90 KB.
     constexpr std::uint64_t snapshotAfter = 100;
     constexpr std::uint64_t keptEntries = 20;
@@ -44,6 +46,23 @@
         return { status, std::move(body) };
     }
 
+    // The instances, separated by commas; a question mark follows a member without a vote.
+    std::string memberList(const std::vector<ControlMember>& members)
+    {
+        std::string list;
+        for (const auto& member : members)
+            list.append(list.empty() ? "" : ",").append(member.instance_.value_).append(member.voter_ ? "" : "?");
+        return list;
+    }
+
+    std::string instanceList(const std::vector<InstanceId>& instances)
+    {
+        std::string list;
+        for (const auto& instance : instances)
+            list.append(list.empty() ? "" : ",").append(instance.value_);
+        return list;
+    }
+
     std::string documentKey(std::uint64_t version, const std::string& document)
     {
         return "catalog-" + std::to_string(version) + "-"
@@ -276,12 +295,10 @@
 void ControlHost::receive(const ControlStatus& status)
 {
     if (status.leader_ != status_.leader_ || status.members_ != status_.members_) {
-        LogLine line(LogKind::Belief, "control_status");
-        line.with("leader", status.leader_.value_).with("term", status.term_);
-        std::string members;
-        for (const auto& member : status.members_)
-            members.append(members.empty() ? "" : ",").append(member.instance_.value_).append(member.voter_ ? "" : "?");
-        line.with("members", members);
+        LogLine(LogKind::Belief, "control_status")
+            .with("leader", status.leader_.value_)
+            .with("term", status.term_)
+            .with("members", memberList(status.members_));
     }
     status_ = status;
     for (const auto& member : status_.members_) {
@@ -381,6 +398,12 @@
     metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
     metrics_.setGauge("applied_catalog_version", document_ ? static_cast<double>(document_->version_) : 0);
     metrics_.setGauge("control_leads", status_.role_ == ControlRole::Leader ? 1 : 0);
+    metrics_.setGauge("control_leader_known", status_.leader_.empty() ? 0 : 1);
+    metrics_.setGauge("control_votes", status_.isVoter_ ? 1 : 0);
+    metrics_.setGauge("control_voters",
+        static_cast<double>(std::count_if(status_.members_.begin(), status_.members_.end(),
+            [](const ControlMember& member) { return member.voter_; })));
+    metrics_.setGauge("control_members_heard", static_cast<double>(heardMembers().size()));
     metrics_.setGauge("entry_instances", static_cast<double>(entryInstances().size()));
     metrics_.setGauge("known_endpoints", static_cast<double>(registry_.records_.size()));
     connection->reply({ 200, metrics_.render(), "text/plain" });
@@ -475,6 +498,47 @@
     connection->reply(statusReply(200));
 }
 
+std::string_view ControlHost::controlImpairment() const
+{
+    if (!control_)
+        return "no_storage";
+    if (status_.leader_.empty())
+        return "no_leader";
+    return status_.isVoter_ ? "" : "no_vote";
+}
+
+std::vector<InstanceId> ControlHost::heardMembers() const
+{
+    std::vector<InstanceId> heard;
+    for (const auto& [id, member] : members_) {
+        if (Clock::now() - member.heard_ < impairmentReportTime)
+            heard.push_back(id);
+    }
+    return heard;
+}
+
+void ControlHost::reportImpairment(TimePoint now)
+{
+    const auto cause = controlImpairment();
+    if (cause != impairment_) {
+        if (isImpairmentReported_ && cause.empty())
+            LogLine(LogKind::Dependency, "control_restored")
+                .with("cause", impairment_)
+                .with("after", now - impairedAt_);
+        impairment_ = cause;
+        impairedAt_ = now;
+        isImpairmentReported_ = false;
+    }
+    if (cause.empty() || isImpairmentReported_ || now - impairedAt_ < impairmentReportTime)
+        return;
+    isImpairmentReported_ = true;
+    LogLine(LogKind::Dependency, "control_impaired")
+        .with("cause", cause)
+        .with("members", memberList(status_.members_))
+        .with("heard", instanceList(heardMembers()))
+        .with("known", instanceList(otherMembers()));
+}
+
 bool ControlHost::inContact() const
 {
     return control_ && Clock::now() - control_->lastContact() < contactTime;
@@ -612,6 +676,7 @@
             sendDirectory(id, update);
         }
     }
+    reportImpairment(now);
     pushDueFeeds();
     duty_.tick();
     if (catalog_)
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -110,6 +110,11 @@
     void answerReads();
 
     void tick();
+    /// Why this member does not take part in the control log, or an empty string.
+    std::string_view controlImpairment() const;
+    void reportImpairment(TimePoint now);
+    /// Other members that sent a message lately.
+    std::vector<InstanceId> heardMembers() const;
     bool inContact() const;
     std::vector<InstanceId> otherMembers() const;
     std::vector<InstanceId> entryInstances() const;
@@ -138,6 +143,9 @@
     std::shared_ptr<const RouteCatalog> catalog_;
     std::unique_ptr<ControlTask> control_;
     ControlStatus status_;
+    std::string_view impairment_;
+    TimePoint impairedAt_;
+    bool isImpairmentReported_ { false };
     std::shared_ptr<const CatalogDocument> document_;
     std::shared_ptr<const PackedCatalog> packed_; ///< Of document_.
     std::map<std::uint64_t, PendingCall> calls_;
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -36,7 +36,8 @@
     ControlStatus statusOf(const ControlLogState& log)
     {
         return { log.role_, log.stored_.promise_.term_, log.leader_ ? log.leader_->instance_ : InstanceId(),
-            log.configuration_ ? log.configuration_->members_ : std::vector<ControlMember>() };
+            log.configuration_ ? log.configuration_->members_ : std::vector<ControlMember>(),
+            log.configuration_ && isVoter(*log.configuration_, log.identity_) };
     }
 
 } // namespace
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -28,6 +28,7 @@
     Term term_ { 0 };
     InstanceId leader_; ///< Empty while no leader is known.
     std::vector<ControlMember> members_; ///< Empty before founding.
+    bool isVoter_ { false }; ///< Whether this member votes.
 
     bool operator==(const ControlStatus&) const = default;
 };
