Search for disruptions after which the control log has no majority

The test plays random series of lost disks, power, links, disk space and members on 3, 4 and 5 members, with a client that changes the catalog all the time. At most one disk is lost between two quiet catch-up times. At the end one disk and the power of all members are lost right after an acknowledgement; within 4 s after they are back, a read has to return every acknowledged version and a change has to be acknowledged. A second case writes real files and limits their size to stand for full disks.

--- /dev/null
+++ b/tests/ControlLossTest.cpp
@@ -0,0 +1,370 @@
+// Searches for series of disruptions after which the control log has no majority, although no more disks were lost at
+// once than it tolerates. Between two losses of a disk, all members run undisturbed for a catch-up time.
+
+#include "support/ControlCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+using namespace cassiahollow;
+using namespace std::chrono_literals;
+using fake::ControlCluster;
+
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr std::size_t defaultSeries = 60;
+constexpr std::size_t defaultFileSeries = 4;
+#else
+constexpr std::size_t defaultSeries = 1500;
+constexpr std::size_t defaultFileSeries = 24;
+#endif
+
+// The time after which a restarted or new member counts as available (CatchupS of the platform's settings).
+constexpr Duration catchUpTime = 4s;
+// The time within which a cluster whose members all run again serves reads and changes (ContactMs of the settings).
+constexpr Duration serviceTime = 4s;
+
+enum class Disruption {
+    LosePower,
+    LoseAllPower,
+    Cut,
+    CutIn,
+    CutOut,
+    Split,
+    Freeze,
+    FillDisk,
+    FillDisksInTurn,
+    Restart,
+    Reload,
+    Count
+};
+
+enum class DiskLoss { None, LoseDisk, Replace, ReplacePlanned, Add, Count };
+
+struct Series {
+    std::uint64_t seed_;
+    std::size_t size_;
+};
+
+struct Result {
+    std::vector<std::string> violations_;
+    std::vector<std::string> history_;
+    std::uint64_t acknowledgements_ { 0 };
+    std::size_t disruptions_ { 0 };
+};
+
+// The settings of the daemon's control host; short snapshots, so that lagging members need one.
+ControlLogOptions hostOptions(bool isCompacting)
+{
+    ControlLogOptions options;
+    options.admitsUnlisted_ = true;
+    options.electionTimeout_ = 400ms;
+    options.heartbeatInterval_ = 120ms;
+    options.helloInterval_ = 250ms;
+    options.snapshotAfter_ = isCompacting ? 12 : 100;
+    options.keptEntries_ = isCompacting ? 3 : 20;
+    return options;
+}
+
+class SeriesRun {
+public:
+    SeriesRun(const Series& series, const std::filesystem::path& folder, bool isRecording)
+        : random_(series.seed_ * 7919 + series.size_)
+        , cluster_({ .seed_ = series.seed_,
+              .size_ = series.size_,
+              .log_ = hostOptions(random_() % 2 == 0),
+              .folder_ = folder,
+              .records_ = isRecording })
+    {
+    }
+
+    Result run()
+    {
+        cluster_.runFor(2s);
+        cluster_.startClient();
+        cluster_.runFor(1s);
+        const auto episodes = 1 + random_() % 4;
+        for (std::size_t i = 0; i < episodes; ++i)
+            playEpisode();
+        loseDiskAtAcknowledgement();
+        checkService();
+        result_.acknowledgements_ = cluster_.acknowledgements();
+        for (const auto& violation : cluster_.violations())
+            result_.violations_.push_back(violation);
+        result_.history_ = cluster_.history();
+        return result_;
+    }
+
+private:
+    Duration between(Duration low, Duration high)
+    {
+        return low + Duration(static_cast<Duration::rep>(random_() % static_cast<std::uint64_t>((high - low).count())));
+    }
+
+    std::string victim()
+    {
+        const auto leader = cluster_.leader();
+        if (!leader.empty() && random_() % 3 == 0)
+            return leader;
+        const auto names = cluster_.names();
+        return names[random_() % names.size()];
+    }
+
+    // Notes that a disruption lasts until this time from now.
+    void lasts(Duration time) { end_ = std::max(end_, cluster_.now() + time); }
+
+    void disrupt()
+    {
+        ++result_.disruptions_;
+        const auto name = victim();
+        const auto time = between(100ms, 6s);
+        const auto down = between(200ms, 3s);
+        switch (static_cast<Disruption>(random_() % static_cast<std::size_t>(Disruption::Count))) {
+        case Disruption::LosePower:
+            cluster_.losePower(name, down);
+            return lasts(down);
+        case Disruption::LoseAllPower:
+            for (const auto& one : cluster_.names())
+                cluster_.losePower(one, down);
+            return lasts(down);
+        case Disruption::Cut:
+            cluster_.cut(name, true, true, time);
+            return lasts(time);
+        case Disruption::CutIn:
+            cluster_.cut(name, true, false, time);
+            return lasts(time);
+        case Disruption::CutOut:
+            cluster_.cut(name, false, true, time);
+            return lasts(time);
+        case Disruption::Split: {
+            std::set<std::string> side;
+            for (const auto& one : cluster_.names()) {
+                if (random_() % 2 == 0)
+                    side.insert(one);
+            }
+            cluster_.split(side, time);
+            return lasts(time);
+        }
+        case Disruption::Freeze:
+            cluster_.freeze(name, time);
+            return lasts(time);
+        case Disruption::FillDisk:
+            cluster_.fillDisk(name, time);
+            return lasts(time);
+        case Disruption::FillDisksInTurn: {
+            Duration start {};
+            for (const auto& one : cluster_.names()) {
+                const auto full = between(500ms, 4s);
+                cluster_.at(cluster_.now() + start, [this, one, full] { cluster_.fillDisk(one, full); });
+                start += full + between(0ms, 500ms);
+            }
+            return lasts(start);
+        }
+        case Disruption::Restart:
+            cluster_.terminate(name, down);
+            return lasts(down);
+        case Disruption::Reload:
+            for (const auto& one : cluster_.names())
+                cluster_.reload(one);
+            return;
+        case Disruption::Count:
+            return;
+        }
+    }
+
+    void loseDisk()
+    {
+        ++result_.disruptions_;
+        const auto name = victim();
+        const auto down = between(100ms, 3s);
+        switch (static_cast<DiskLoss>(random_() % static_cast<std::size_t>(DiskLoss::Count))) {
+        case DiskLoss::LoseDisk:
+            cluster_.loseDisk(name, down);
+            return lasts(down);
+        case DiskLoss::Replace:
+            cluster_.removeForever(name);
+            cluster_.at(cluster_.now() + down, [this] { cluster_.add(); });
+            return lasts(down);
+        case DiskLoss::ReplacePlanned:
+            // The removed member stops counting a catch-up time after the start of its successor.
+            cluster_.add();
+            cluster_.at(cluster_.now() + down, [this, name] { cluster_.terminate(name, std::nullopt); });
+            return lasts(Duration(0));
+        case DiskLoss::Add:
+            if (cluster_.names().size() < maximumControlVoters)
+                cluster_.add();
+            return lasts(Duration(0));
+        case DiskLoss::None:
+        case DiskLoss::Count:
+            return;
+        }
+    }
+
+    // Up to three disruptions that may overlap, at most one of which loses a disk, and then a quiet catch-up time.
+    void playEpisode()
+    {
+        end_ = cluster_.now();
+        const auto count = random_() % 3;
+        const auto diskAt = random_() % (count + 1);
+        for (std::size_t i = 0; i <= count; ++i) {
+            if (i == diskAt)
+                loseDisk();
+            else
+                disrupt();
+            cluster_.runFor(between(1ms, 2s));
+        }
+        end_ = std::max(end_ + catchUpTime, cluster_.now());
+        cluster_.runFor(end_ - cluster_.now());
+    }
+
+    // The disk of one member, and the power of all others, right after an acknowledgement.
+    void loseDiskAtAcknowledgement()
+    {
+        bool isOver = false;
+        const auto strike = [&] {
+            if (std::exchange(isOver, true))
+                return;
+            const auto lost = victim();
+            for (const auto& name : cluster_.names()) {
+                if (name == lost)
+                    cluster_.loseDisk(name, 800ms);
+                else
+                    cluster_.losePower(name, 800ms);
+            }
+        };
+        cluster_.onAcknowledged(strike);
+        if (!cluster_.runUntil([&] { return isOver; }, serviceTime)) {
+            result_.violations_.emplace_back("no change acknowledged after a quiet catch-up time");
+            strike();
+        }
+    }
+
+    void checkService()
+    {
+        cluster_.runFor(800ms);
+        const auto before = cluster_.acknowledgements();
+        const auto wanted = cluster_.acknowledgedVersion();
+        const auto end = cluster_.now() + serviceTime;
+        const auto version = cluster_.readBack(serviceTime);
+        if (!version)
+            result_.violations_.emplace_back("no read confirmed after the last loss");
+        else if (*version < wanted)
+            result_.violations_.push_back(
+                "read back " + std::to_string(*version) + ", " + std::to_string(wanted) + " was acknowledged");
+        const bool isAcknowledged = cluster_.runUntil(
+            [&] { return cluster_.acknowledgements() > before; }, std::max<Duration>(end - cluster_.now(), 0ms));
+        if (!isAcknowledged)
+            result_.violations_.emplace_back("no change acknowledged after the last loss");
+    }
+
+    std::mt19937_64 random_;
+    ControlCluster cluster_;
+    TimePoint end_;
+    Result result_;
+};
+
+std::size_t numberFrom(const char* variable, std::size_t otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+std::string describe(const Series& series)
+{
+    return "CONTROL_LOSS_FIRST=" + std::to_string(series.seed_) + " with " + std::to_string(series.size_) + " members";
+}
+
+// Prints a summary and the first violation with its history. Returns the number of series with a violation.
+std::size_t report(const char* name, const std::vector<Series>& all, const std::vector<Result>& results,
+    const std::function<Result(const Series&)>& replay)
+{
+    std::size_t broken = 0;
+    std::uint64_t acknowledgements = 0;
+    std::size_t disruptions = 0;
+    std::map<std::pair<std::size_t, std::string>, std::size_t> kinds;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        acknowledgements += results[i].acknowledgements_;
+        disruptions += results[i].disruptions_;
+        for (const auto& violation : results[i].violations_)
+            ++kinds[{ all[i].size_, violation.substr(violation.find(": ") == std::string::npos ? 0 : 4) }];
+        if (results[i].violations_.empty())
+            continue;
+        if (broken++ > 0)
+            continue;
+        std::cout << describe(all[i]) << ":\n";
+        const auto repeated = replay(all[i]);
+        for (const auto& line : repeated.history_)
+            std::cout << "    " << line << "\n";
+        for (const auto& violation : results[i].violations_)
+            std::cout << "  " << violation << "\n";
+    }
+    std::cout << name << ": " << all.size() << " series from seed " << (all.empty() ? 0 : all.front().seed_) << ", "
+              << disruptions << " disruptions, " << acknowledgements << " changes acknowledged, " << broken
+              << " series with a violation\n";
+    for (const auto& [kind, count] : kinds)
+        std::cout << "  " << count << " with " << kind.first << " members: " << kind.second << "\n";
+    return broken;
+}
+
+std::vector<Series> seriesFrom(std::uint64_t first, std::size_t count)
+{
+    std::vector<Series> all;
+    for (std::size_t i = 0; i < count; ++i)
+        all.push_back({ first + i, 3 + (first + i) % 3 });
+    return all;
+}
+
+// Removed at the end of the test.
+struct TemporaryFolder {
+    std::filesystem::path path_;
+
+    TemporaryFolder()
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "control-loss-XXXXXX").string();
+        path_ = mkdtemp(pattern.data());
+    }
+    ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+};
+
+} // namespace
+
+// Guards against a majority that is lost by tolerated losses: of a disk, power, links, space and members.
+TEST_CASE("an acknowledged change is read back after a lost disk")
+{
+    const auto all = seriesFrom(numberFrom("CONTROL_LOSS_FIRST", 1), numberFrom("CONTROL_LOSS_SERIES", defaultSeries));
+    std::vector<Result> results(all.size());
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&] {
+            for (auto index = next++; index < all.size(); index = next++)
+                results[index] = SeriesRun(all[index], {}, false).run();
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    const auto replay = [](const Series& series) { return SeriesRun(series, {}, true).run(); };
+    CHECK(report("losses", all, results, replay) == 0);
+}
+
+// Guards against files that a member cannot use any more after writes have failed. One thread, because the limit that
+// stands for the full disk applies to the process.
+TEST_CASE("an acknowledged change is read back from files after full disks")
+{
+    const auto all
+        = seriesFrom(numberFrom("CONTROL_LOSS_FIRST", 1), numberFrom("CONTROL_LOSS_FILE_SERIES", defaultFileSeries));
+    const auto play = [](const Series& series) {
+        const TemporaryFolder folder;
+        return SeriesRun(series, folder.path_, true).run();
+    };
+    std::vector<Result> results;
+    for (const auto& series : all)
+        results.push_back(play(series));
+    CHECK(report("losses with files", all, results, play) == 0);
+}
