Remove a missing voter as soon as it costs the tolerated loss

Callers saw no configuration read back after a lost disk: a member that was gone for good kept its vote for 8 s beside its successor, and longer when the leader changed, because the clock starts again with each leader. Three of four voters were left, the loss of one disk left two, and no member led again.

The leader now compares what the voters that answer could still lose with the tolerance of the deployment. If it is too little and removing silent voters helps, they are removed after 1 s. Never below twice the tolerance plus one, so that each majority holds a disk more than may be lost. The successor is still added first: after a swap in the other order two voters would be left for a moment, and with the old member only cut off, one lost disk would stop them for good. The tolerance comes from the new setting tolerated_losses.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -145,6 +145,7 @@
     options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
     options.log_.mayFound_ = settings_.mayFound_;
     options.log_.admitsUnlisted_ = true;
+    options.log_.toleratedLosses_ = settings_.toleratedLosses_;
     options.log_.snapshotAfter_ = snapshotAfter;
     options.log_.keptEntries_ = keptEntries;
     options.log_.electionTimeout_ = electionTimeout;
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -1,5 +1,6 @@
 #include "process/NodeSettings.h"
 
+#include "cassiahollow/version/ControlLog.h"
 #include "process/SettingsReader.h"
 
 namespace cassiahollow {
@@ -36,6 +37,7 @@
         reader.read("deployment_key", settings.deploymentKey_, true, "a secret shared by all instances");
         reader.read("data_folder", settings.dataFolder_, false, "a folder on a disk of this instance");
         reader.read("may_found", settings.mayFound_, false, "true or false");
+        reader.readCount("tolerated_losses", settings.toleratedLosses_, 0, maximumControlVoters / 2);
         readOptionalAddress(reader, "authority", settings.authority_);
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -242,11 +242,15 @@
     bool mayFound_ { true };
     /// Whether a leader admits members that no operator added. For deployments whose control instances are replaced.
     bool admitsUnlisted_ { false };
+    /// The number of voters that may be lost at once. With admitsUnlisted_, unreachable voters are removed as long as
+    /// twice this number plus one remain.
+    std::size_t toleratedLosses_ { 1 };
     /// With admitsUnlisted_: a voter that sent no response for this long is removed while enough others remain.
     /// Longer than a restart, so that a restarted member stays in the configuration.
     Duration removeUnreachableAfter_ { std::chrono::seconds(8) };
-    /// With admitsUnlisted_: unreachable voters are removed only above this number. Two of three are a majority.
-    std::size_t minimumVoters_ { 3 };
+    /// As removeUnreachableAfter_, while the reachable voters would be no majority after toleratedLosses_ more. Short
+    /// enough that a replaced member is removed within the catch-up time of its successor.
+    Duration restoreToleranceAfter_ { std::chrono::seconds(1) };
     ControlInjectedFaults injectedFaults_;
 };
 
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -18,6 +18,8 @@
     constexpr std::size_t operationBytes = 128;
     // A snapshot is a few megabytes at most and is resent only after this time.
     constexpr Duration snapshotResend = std::chrono::seconds(1);
+    // Unreachable voters are removed only above this number, because two voters bear no loss.
+    constexpr std::size_t minimumVoters = 3;
     // The number of hello intervals for which a hello stays valid, so that a lost one has no effect.
     constexpr int helloLifetime = 3;
 
@@ -93,14 +95,19 @@
         return then != TimePoint() && now - then <= age;
     }
 
-    // Returns whether the member is the leader itself or responded to it within an election timeout.
-    bool isReachable(const Step& step, const std::string& identity)
+    // Returns whether the member is the leader itself or responded to it within the given time.
+    bool respondedWithin(const Step& step, const std::string& identity, Duration silence)
     {
         if (identity == step.state_.identity_)
             return true;
         const auto progress = step.state_.progress_.find(identity);
         return progress != step.state_.progress_.end()
-            && isRecent(progress->second.lastReceivedAt_, step.state_.options_.electionTimeout_, step.now_);
+            && isRecent(progress->second.lastReceivedAt_, silence, step.now_);
+    }
+
+    bool isReachable(const Step& step, const std::string& identity)
+    {
+        return respondedWithin(step, identity, step.state_.options_.electionTimeout_);
     }
 
     // Returns whether this member leads or is in contact with a leader. It then grants no votes, so that a member that
@@ -579,18 +586,52 @@
         return false;
     }
 
-    // Removes a voter that has been unreachable for long, so that the next failure does not lose the majority.
+    // Returns whether the voters that responded within `silence` remain a majority after `losses` more are lost.
+    bool toleratesLosses(
+        const Step& step, const ControlConfiguration& configuration, Duration silence, std::size_t losses)
+    {
+        std::size_t responding = 0;
+        for (const auto& member : configuration.members_)
+            responding += member.voter_ && respondedWithin(step, member.identity_, silence) ? 1 : 0;
+        return responding > voterCount(configuration) / 2 + losses;
+    }
+
+    // Returns the configuration without the voters that sent no response within `silence`. Keeps as many voters as are
+    // needed for every majority to hold one disk more than may be lost.
+    ControlConfiguration withoutSilentVoters(const Step& step, Duration silence)
+    {
+        const auto& state = step.state_;
+        auto next = *state.configuration_;
+        const auto minimum = std::max(minimumVoters, 2 * state.options_.toleratedLosses_ + 1);
+        auto removable = voterCount(next) - std::min(voterCount(next), minimum);
+        std::erase_if(next.members_, [&](const ControlMember& member) {
+            if (!member.voter_ || removable == 0 || respondedWithin(step, member.identity_, silence))
+                return false;
+            --removable;
+            return true;
+        });
+        return next;
+    }
+
+    // Removes a voter that has been unreachable for long, or soon if the next losses would otherwise leave no majority:
+    // its machine may be gone for good.
     bool removeUnreachableVoter(Step& step)
     {
-        auto& state = step.state_;
-        if (!state.options_.admitsUnlisted_ || voterCount(*state.configuration_) <= state.options_.minimumVoters_)
+        const auto& state = step.state_;
+        const auto& options = state.options_;
+        if (!options.admitsUnlisted_)
             return false;
-        for (const auto& member : state.configuration_->members_) {
-            const auto progress = state.progress_.find(member.identity_);
-            if (!member.voter_ || progress == state.progress_.end()
-                || isRecent(progress->second.lastReceivedAt_, state.options_.removeUnreachableAfter_, step.now_))
+        const auto& current = *state.configuration_;
+        auto target = withoutSilentVoters(step, options.restoreToleranceAfter_);
+        const auto tolerates = [&](const ControlConfiguration& configuration) {
+            return toleratesLosses(step, configuration, options.restoreToleranceAfter_, options.toleratedLosses_);
+        };
+        if (tolerates(current) || !tolerates(target))
+            target = withoutSilentVoters(step, options.removeUnreachableAfter_);
+        for (const auto& member : current.members_) {
+            if (isMember(target, member.identity_))
                 continue;
-            auto next = *state.configuration_;
+            auto next = current;
             std::erase_if(next.members_, [&](const auto& m) { return m.identity_ == member.identity_; });
             if (!hasMajority(next, [&](const std::string& identity) { return isReachable(step, identity); }))
                 continue;
