Let members announce themselves beyond their seeds

Callers saw a cluster stop at the next lost disk, because a member that should have voted never joined. Only the leader admits members, and a member sent its hello only to its seeds: when none of them led, or all had been replaced, it stayed outside for as long as that leader led.

Hellos and their responses now carry the instances of the sender's configuration, and a member that is not part of a cluster sends hellos to all that it has learned of, to the members of its own last configuration, and to the seeds of reloaded settings. The bootstrap still needs the seeds of the first start, because members with different lists could found two clusters.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -140,8 +140,7 @@
 {
     ControlTaskOptions options;
     options.instance_ = self_;
-    for (const auto& seed : settings_.seeds_)
-        options.listed_.emplace_back(peerAddressOf(settings_, seed));
+    options.listed_ = seedInstances();
     options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
     options.log_.mayFound_ = settings_.mayFound_;
     options.log_.admitsUnlisted_ = true;
@@ -203,6 +202,8 @@
 void ControlHost::receive(const Reload& reload)
 {
     settings_.seeds_ = reload.settings_.seeds_;
+    if (control_)
+        control_->post(ControlSeeds { seedInstances() });
     LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
 }
 
@@ -545,11 +546,18 @@
     return control_ && Clock::now() - control_->lastContact() < contactTime;
 }
 
-std::vector<InstanceId> ControlHost::otherMembers() const
+std::vector<InstanceId> ControlHost::seedInstances() const
 {
-    std::set<InstanceId> members;
+    std::vector<InstanceId> seeds;
     for (const auto& seed : settings_.seeds_)
-        members.emplace(peerAddressOf(settings_, seed));
+        seeds.emplace_back(peerAddressOf(settings_, seed));
+    return seeds;
+}
+
+std::vector<InstanceId> ControlHost::otherMembers() const
+{
+    const auto seeds = seedInstances();
+    std::set<InstanceId> members(seeds.begin(), seeds.end());
     for (const auto& member : status_.members_)
         members.insert(member.instance_);
     members.erase(self_);
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -140,6 +140,8 @@
         unanswered_.insert(request->token_);
         return handle(std::move(*request), Clock::now());
     }
+    if (const auto* seeds = std::get_if<ControlSeeds>(&event))
+        return handle(*seeds, Clock::now());
     const auto& peer = std::get<PeerMessage>(event);
     std::optional<ControlMessage> message;
     const auto failure = failureOf([&]() -> leaf::result<void> {
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -69,7 +69,7 @@
         InstanceId sender_;
         std::string body_;
     };
-    using Event = std::variant<PeerMessage, LocalRequest>;
+    using Event = std::variant<PeerMessage, LocalRequest, ControlSeeds>;
 
     ControlTask(ControlTaskOptions, ControlTaskCallbacks);
     ~ControlTask();
--- a/fuzz/Decoders.cpp
+++ b/fuzz/Decoders.cpp
@@ -242,7 +242,7 @@
         const auto add = [&](auto body) {
             seeds.push_back(encodeControlMessage({ "x", InstanceId("a"), "a-1", "b-1", 4, std::move(body) }));
         };
-        add(ControlHello { true, false });
+        add(ControlHello { true, false, { InstanceId("a") } });
         add(PreVoteRequest { { 2, 5 } });
         add(PreVoteResponse { true });
         add(VoteRequest { { 1, 4 } });
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -108,6 +108,8 @@
 struct ControlHello {
     bool founded_ { false }; ///< The sender has a configuration.
     bool responseRequested_ { false };
+    /// The instances of the sender's configuration. Only a leader admits a member, so hellos have to reach all.
+    std::vector<InstanceId> members_;
 };
 struct PreVoteRequest {
     LogPosition last_; ///< The message's term is the one in which the sender would campaign.
@@ -171,6 +173,12 @@
 
 /// Events that step() handles.
 
+/// Other instances to which hellos are sent as well, such as the seeds of reloaded settings. They do not take part in
+/// the bootstrap, which needs the same list at all instances.
+struct ControlSeeds {
+    std::vector<InstanceId> instances_;
+};
+
 /// The timer event. Must be delivered at least once per heartbeat interval.
 struct ControlTick { };
 /// A request from the local process. The token is echoed in the response.
@@ -179,7 +187,7 @@
     ControlRequest request_;
 };
 
-using ControlEvent = std::variant<ControlTick, ControlMessage, LocalRequest>;
+using ControlEvent = std::variant<ControlTick, ControlMessage, LocalRequest, ControlSeeds>;
 
 /// Actions other than PersistAction.
 
@@ -314,6 +322,7 @@
     bool hadLeader_ { false }; ///< Whether any leader was known since the start.
     std::set<std::string> votes_;
     std::map<InstanceId, ReceivedHello> hellos_;
+    std::set<InstanceId> contacts_; ///< Instances learned from hellos and seeds, which get hellos as well.
 
     // The replicated state machine, applied up to applied_.
     std::uint64_t commit_ { 0 };
--- a/src/version/ControlCodec.cpp
+++ b/src/version/ControlCodec.cpp
@@ -374,6 +374,8 @@
         {
             out_.mutable_hello()->set_founded(hello.founded_);
             out_.mutable_hello()->set_answer_wanted(hello.responseRequested_);
+            for (const auto& instance : hello.members_)
+                out_.mutable_hello()->add_members(instance.value_);
         }
         void operator()(const PreVoteRequest& request) { toWire(request.last_, *out_.mutable_pre_vote()); }
         void operator()(const PreVoteResponse& response) { out_.set_pre_vote_answer(response.granted_); }
@@ -443,7 +445,8 @@
     message.term_ = in.term();
     switch (in.body_case()) {
     case wire::ControlMessage::kHello:
-        message.body_ = ControlHello { in.hello().founded(), in.hello().answer_wanted() };
+        message.body_ = ControlHello { in.hello().founded(), in.hello().answer_wanted(),
+            { in.hello().members().begin(), in.hello().members().end() } };
         break;
     case wire::ControlMessage::kPreVote:
         message.body_ = PreVoteRequest { fromWire(in.pre_vote()) };
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -20,6 +20,8 @@
     constexpr Duration snapshotResend = std::chrono::seconds(1);
     // Unreachable voters are removed only above this number, because two voters bear no loss.
     constexpr std::size_t minimumVoters = 3;
+    // Bounds the recipients of hellos: the members of a few successive configurations.
+    constexpr std::size_t maximumContacts = 4 * maximumControlVoters;
     // The number of hello intervals for which a hello stays valid, so that a lost one has no effect.
     constexpr int helloLifetime = 3;
 
@@ -528,6 +530,24 @@
         becomeLeader(step);
     }
 
+    std::vector<InstanceId> configuredInstances(const ControlLogState& state)
+    {
+        std::vector<InstanceId> instances;
+        if (state.configuration_) {
+            for (const auto& member : state.configuration_->members_)
+                instances.push_back(member.instance_);
+        }
+        return instances;
+    }
+
+    void addContacts(ControlLogState& state, const std::vector<InstanceId>& instances)
+    {
+        for (const auto& instance : instances) {
+            if (state.contacts_.size() < maximumContacts)
+                state.contacts_.insert(instance);
+        }
+    }
+
     void sendHello(Step& step)
     {
         auto& state = step.state_;
@@ -536,13 +556,18 @@
         // A member that was removed while disconnected still has a configuration that contains it, but no leader.
         const bool isActiveMember
             = state.configuration_ && isMember(*state.configuration_, state.identity_) && hasActiveLeader(step);
+        if (isActiveMember)
+            state.contacts_.clear();
         if (isActiveMember || step.now_ < state.nextHelloAt_)
             return;
         state.nextHelloAt_ = step.now_ + state.options_.helloInterval_;
-        for (const auto& instance : state.listed_) {
-            if (instance != state.instance_)
-                send(step, instance, {}, ControlHello { state.configuration_.has_value(), true });
-        }
+        auto recipients = state.contacts_;
+        recipients.insert(state.listed_.begin(), state.listed_.end());
+        const auto members = configuredInstances(state);
+        recipients.insert(members.begin(), members.end());
+        recipients.erase(state.instance_);
+        for (const auto& instance : recipients)
+            send(step, instance, {}, ControlHello { state.configuration_.has_value(), true, members });
     }
 
     bool mayChangeConfiguration(const ControlLogState& state)
@@ -846,8 +871,9 @@
         state.hellos_[message.sender_] = { message.senderIdentity_, message.cluster_, hello.founded_, step.now_ };
         // Bounds the memory for hellos of instances that are not part of the cluster.
         std::erase_if(state.hellos_, [&](const auto& item) { return !isFreshHello(step, item.second); });
+        addContacts(state, hello.members_);
         if (hello.responseRequested_)
-            reply(step, message, ControlHello { state.configuration_.has_value(), false });
+            reply(step, message, ControlHello { state.configuration_.has_value(), false, configuredInstances(state) });
     }
 
     void receive(Step& step, const ControlMessage& message, const PreVoteRequest& request)
@@ -1064,6 +1090,11 @@
         return true;
     }
 
+    void handle(Step& step, const ControlSeeds& seeds)
+    {
+        addContacts(step.state_, seeds.instances_);
+    }
+
     void handle(Step& step, const ControlMessage& message)
     {
         if (!isAcceptable(step.state_, message)) {
--- a/tests/ControlCatalogTest.cpp
+++ b/tests/ControlCatalogTest.cpp
@@ -220,6 +220,29 @@
     CHECK(members.voters() == std::set<std::string> { "a", "b", "c", "d" });
 }
 
+// Guards against a member that stays outside because its seeds are followers, or were replaced themselves.
+TEST_CASE("a member is admitted whose seeds do not lead")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.run(5s);
+    const auto leader = members.leader();
+    const auto* follower = leader == "a" ? "b" : "a";
+    members.listed_ = { InstanceId("gone"), InstanceId(follower) };
+    members.start("d", false);
+    members.run(2s);
+    CHECK(members.voters().contains("d"));
+    // New seeds of a running member.
+    members.listed_ = { InstanceId("gone") };
+    members.start("e", false);
+    members.run(2s);
+    CHECK_FALSE(members.voters().contains("e"));
+    members.take(step(members.logs_.at(InstanceId("e")), ControlSeeds { { InstanceId(follower) } }, members.now_));
+    members.run(2s);
+    CHECK(members.voters().contains("e"));
+}
+
 // Guards against a machine that is gone for good counting for the majority for ever: the next loss would stop control.
 TEST_CASE("a machine that is replaced by another loses its vote, and the next loss is borne")
 {
--- a/tests/ControlCodecTest.cpp
+++ b/tests/ControlCodecTest.cpp
@@ -48,7 +48,7 @@
     const auto add = [&](auto body) {
         messages.push_back({ "x", InstanceId("a"), "a-1", "b-1", messages.size() + 1, std::move(body) });
     };
-    add(ControlHello { true, false });
+    add(ControlHello { true, false, { InstanceId("a"), InstanceId("b") } });
     add(PreVoteRequest { { 2, 5 } });
     add(PreVoteResponse { true });
     add(VoteRequest { { 0, 0 } });
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -255,8 +255,7 @@
     auto& one = machine(name);
     one.seeds_ = currentSeeds();
     note("reloaded: " + name);
-    if (one.log_)
-        one.log_->listed_ = one.seeds_;
+    deliver(InstanceId(name), ControlSeeds { one.seeds_ }, one.starts_);
 }
 
 inline bool ControlCluster::openFiles(const std::string& name, Machine& one)
