--- a/src/version/ControlStorage.cpp
+++ b/src/version/ControlStorage.cpp
@@ -242,6 +242,16 @@
         return action.entries_.front().position_.index_ == last + 1;
     }
 
+    // Replaces the journal by one record with all entries.
+    leaf::result<void> writeWholeJournal(ControlStorage& storage, const ControlStored& stored)
+    {
+        const PersistAction whole { .entries_ = { stored.entries_.begin(), stored.entries_.end() },
+            .promise_ = stored.promise_ };
+        BOOST_LEAF_ASSIGN(
+            storage.journal_, replaceFile(storage.folder_ / journalName, makeRecord(encodeControlRecord(whole))));
+        return {};
+    }
+
     leaf::result<void> readJournal(ControlStorage& storage, std::shared_ptr<const ControlSnapshot> snapshot)
     {
         const auto path = storage.folder_ / journalName;
@@ -268,10 +278,14 @@
             return damageFailure(path, 0, "entries between the snapshot and the journal are missing");
         // Entries that begin right after the snapshot were written with it. Otherwise a crash between the two writes
         // may have left a snapshot that is newer than the journal; applying it repeats the compaction by the log.
+        const auto count = entries.size();
         if (snapshot && !entries.empty() && entries.front().position_.index_ == covered + 1)
             storage.stored_.snapshot_ = std::move(snapshot);
         else if (snapshot)
             applyPersist(storage.stored_, { .snapshot_ = std::move(snapshot) });
+        // The next record would not follow entries that the snapshot replaced.
+        if (entries.size() != count)
+            return writeWholeJournal(storage, storage.stored_);
         if (storage.truncatedBytes_ > 0) {
             if (::truncate(path.c_str(), static_cast<off_t>(offset)) != 0)
                 return systemFailure(path, "truncate");
@@ -381,10 +395,7 @@
         return writeAndSync(journal, storage.journal_.get(), makeRecord(encodeControlRecord(action)));
     // Writes the snapshot first: until the journal is replaced, the old journal still leads up to the snapshot.
     BOOST_LEAF_CHECK(replaceFile(storage.folder_ / snapshotName, makeRecord(encodeControlSnapshot(*action.snapshot_))));
-    const PersistAction first { .entries_ = { after.entries_.begin(), after.entries_.end() },
-        .promise_ = after.promise_ };
-    BOOST_LEAF_ASSIGN(storage.journal_, replaceFile(journal, makeRecord(encodeControlRecord(first))));
-    return {};
+    return writeWholeJournal(storage, after);
 }
 
 std::string makeControlIdentity()
--- a/tests/ControlStorageTest.cpp
+++ b/tests/ControlStorageTest.cpp
@@ -5,7 +5,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <cerrno>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 using namespace cassiahollow;
@@ -13,6 +20,56 @@
 
 namespace {
 
+// File operations are counted, and fail from one of them on as on a full disk. They replace those of the C library.
+struct FileOperations {
+    int count_ { 0 };
+    int failFrom_ { 0 }; // 0: none fails.
+    std::set<ino_t> synced_;
+};
+
+FileOperations operations;
+
+bool refuseOperation()
+{
+    ++operations.count_;
+    if (operations.failFrom_ == 0 || operations.count_ < operations.failFrom_)
+        return false;
+    errno = ENOSPC;
+    return true;
+}
+
+} // namespace
+
+extern "C" ssize_t write(int descriptor, const void* bytes, size_t size)
+{
+    struct stat status { };
+    if (::fstat(descriptor, &status) == 0 && S_ISREG(status.st_mode) && refuseOperation()) {
+        // A disk that becomes full takes a part of the first write.
+        const bool isFirst = operations.count_ == operations.failFrom_;
+        return isFirst && size > 1 ? ::syscall(SYS_write, descriptor, bytes, size / 2) : -1;
+    }
+    return ::syscall(SYS_write, descriptor, bytes, size);
+}
+
+extern "C" int fsync(int descriptor)
+{
+    if (refuseOperation())
+        return -1;
+    struct stat status { };
+    if (::fstat(descriptor, &status) == 0)
+        operations.synced_.insert(status.st_ino);
+    return static_cast<int>(::syscall(SYS_fsync, descriptor));
+}
+
+extern "C" int rename(const char* from, const char* to) noexcept
+{
+    if (refuseOperation())
+        return -1;
+    return static_cast<int>(::syscall(SYS_renameat, AT_FDCWD, from, AT_FDCWD, to));
+}
+
+namespace {
+
 // A folder that is removed at the end of the test.
 struct TemporaryFolder {
     fs::path path_;
@@ -293,3 +350,56 @@
     write(path, read(path).substr(0, 20));
     CHECK(failureOf([&] { return loadAppliedSettings(folder.path_ / "new"); })->reason_ == Reason::StorageDamaged);
 }
+
+namespace {
+
+enum class Write { Entry, OwnSnapshot, LeaderSnapshot, Count };
+
+// A write as the log makes it, on a journal with six entries.
+PersistAction actionOf(Write write)
+{
+    PersistAction action;
+    if (write == Write::Entry) {
+        action.entries_ = { entry(1, 7) };
+    } else {
+        const std::uint64_t last = write == Write::OwnSnapshot ? 5 : 20;
+        action.snapshot_ = snapshotAt({ 1, last });
+        action.keepFrom_ = write == Write::OwnSnapshot ? 4 : last + 1;
+    }
+    return action;
+}
+
+} // namespace
+
+// Guards against a member that cannot read its files any more long after its disk was full.
+TEST_CASE("files can be used after a write that failed at any operation")
+{
+    for (int kind = 0; kind < static_cast<int>(Write::Count); ++kind) {
+        bool isFailing = true;
+        for (int operation = 1; isFailing; ++operation) {
+            CAPTURE(kind, operation);
+            const TemporaryFolder folder;
+            writeRecords(folder.path_, 6);
+            {
+                auto storage = open(folder.path_);
+                auto model = storage.stored_;
+                const auto action = actionOf(static_cast<Write>(kind));
+                applyPersist(model, action);
+                operations = { .failFrom_ = operation };
+                isFailing = !persistControl(storage, action, model);
+                operations = {};
+            }
+            // The next entries, and a restart after each.
+            for (int i = 0; i < 3; ++i) {
+                auto storage = open(folder.path_);
+                auto model = storage.stored_;
+                persist(storage, model, { .entries_ = { entry(2, lastPosition(model).index_ + 1) } });
+                const auto reopened = [&] {
+                    storage = {};
+                    return open(folder.path_);
+                }();
+                REQUIRE(equal(reopened.stored_, model));
+            }
+        }
+    }
+}
