Sync the files of the control log before they are used again

Found while looking for other ways in which a member loses what it confirmed. A process that is killed between a write and its sync, or whose sync fails, leaves a record that the next start reads and counts as durable.

The test records which files are synced; before, it failed for both.

--- a/src/version/ControlStorage.cpp
+++ b/src/version/ControlStorage.cpp
@@ -286,16 +286,23 @@
         // The next record would not follow entries that the snapshot replaced.
         if (entries.size() != count)
             return writeWholeJournal(storage, storage.stored_);
-        if (storage.truncatedBytes_ > 0) {
-            if (::truncate(path.c_str(), static_cast<off_t>(offset)) != 0)
-                return systemFailure(path, "truncate");
-            const FileHandle cut(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
-            if (cut.get() < 0 || ::fsync(cut.get()) != 0)
-                return systemFailure(path, "fsync");
-        }
+        if (storage.truncatedBytes_ > 0 && ::truncate(path.c_str(), static_cast<off_t>(offset)) != 0)
+            return systemFailure(path, "truncate");
         return {};
     }
 
+    // A process that was killed may have left records and names that are not durable yet.
+    leaf::result<void> syncFiles(const fs::path& folder)
+    {
+        const auto journal = folder / journalName;
+        const FileHandle handle(::open(journal.c_str(), O_WRONLY | O_CLOEXEC));
+        if (handle.get() < 0)
+            return systemFailure(journal, "open");
+        if (::fsync(handle.get()) != 0)
+            return systemFailure(journal, "fsync");
+        return syncFolder(folder);
+    }
+
     leaf::result<void> readFolder(ControlStorage& storage)
     {
         BOOST_LEAF_ASSIGN(storage.identity_, readSingleRecord(storage.folder_ / identityName));
@@ -310,7 +317,8 @@
         BOOST_LEAF_AUTO(hasJournal, fileExists(journal));
         if (!hasJournal)
             return damageFailure(journal, 0, "the file is missing; expected a record");
-        return readJournal(storage, std::move(snapshot));
+        BOOST_LEAF_CHECK(readJournal(storage, std::move(snapshot)));
+        return syncFiles(storage.folder_);
     }
 
     // The identity is written last. A crash before that leaves at most the first journal record; anything more means
--- a/tests/ControlStorageTest.cpp
+++ b/tests/ControlStorageTest.cpp
@@ -403,3 +403,20 @@
         }
     }
 }
+
+// Guards against a restarted member that builds on records which a process wrote and did not sync before it was killed:
+// a loss of power later takes them from under the records that follow.
+TEST_CASE("files are synced before they are used again")
+{
+    const TemporaryFolder folder;
+    writeRecords(folder.path_, 3);
+    const auto inodeOf = [](const fs::path& path) {
+        struct stat status { };
+        REQUIRE(::stat(path.c_str(), &status) == 0);
+        return status.st_ino;
+    };
+    operations = {};
+    const auto storage = open(folder.path_);
+    CHECK(operations.synced_.contains(inodeOf(folder.path_ / "journal")));
+    CHECK(operations.synced_.contains(inodeOf(folder.path_)));
+}
