Draw the seed of a control task at each start

Found while looking at what a member does while its disk is full: its control task starts again every 0.5 s, with a seed that was constant for the process. Request numbers began anew with each start, so the response to a change that was forwarded before the failure could acknowledge another change after it, which is then acknowledged and in no log.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -150,7 +150,6 @@
     options.log_.electionTimeout_ = electionTimeout;
     options.log_.heartbeatInterval_ = heartbeatInterval;
     options.log_.helloInterval_ = 250ms;
-    options.seed_ = incarnation_ ^ std::hash<InstanceId>()(self_);
     ControlTaskCallbacks callbacks;
     callbacks.send_ = [this](const InstanceId& recipient, std::string body) {
         mailbox_.post(Send { recipient, std::move(body) });
--- a/daemon/process/ServeControl.cpp
+++ b/daemon/process/ServeControl.cpp
@@ -19,7 +19,6 @@
         options.listed_.push_back(member.instance_);
     options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
     options.start_ = startTree;
-    options.seed_ = incarnation_ ^ std::hash<InstanceId>()(settings_.instance_);
     ControlTaskCallbacks callbacks;
     callbacks.send_ = [this](const InstanceId& recipient, std::string body) {
         post(ControlSend { recipient, std::move(body) });
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -6,6 +6,7 @@
 
 #include <iterator>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace cassiahollow {
@@ -60,8 +61,12 @@
     if (applied)
         applied_ = std::make_shared<const SettingsTree>(std::move(*applied));
     storage_ = std::make_unique<ControlStorage>(std::move(storage));
+    // A task that starts again in the same process needs other request numbers, or it would take a late response to an
+    // earlier request for the response to a new one.
+    std::random_device entropy;
+    const auto seed = std::uint64_t(entropy()) << 32 | entropy();
     log_ = startControlLog(options_.instance_, storage_->identity_, options_.listed_, options_.start_,
-        std::exchange(storage_->stored_, {}), options_.log_, options_.seed_, Clock::now());
+        std::exchange(storage_->stored_, {}), options_.log_, seed, Clock::now());
     {
         const std::lock_guard lock(mutex_);
         isRunning_ = true;
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -58,7 +58,6 @@
     std::filesystem::path folder_; ///< Below the data folder; created at first start.
     SettingsTree start_; ///< The start values of the process settings.
     ControlLogOptions log_;
-    std::uint64_t seed_ { 0 }; ///< Has to differ between instances and starts.
 };
 
 /// A thread that owns one control member and its files.
--- a/tests/ControlTaskTest.cpp
+++ b/tests/ControlTaskTest.cpp
@@ -36,6 +36,7 @@
     {
         ControlTaskCallbacks callbacks;
         callbacks.send_ = [this, instance](const InstanceId& recipient, std::string body) {
+            note([&] { sent_.push_back(decodeControlMessage(body).value()); });
             const std::lock_guard lock(mutex_);
             if (const auto task = tasks_.find(recipient); task != tasks_.end())
                 task->second->post(ControlTask::PeerMessage { instance, std::move(body) });
@@ -60,8 +61,7 @@
         auto task = std::make_unique<ControlTask>(ControlTaskOptions { .instance_ = instance,
                                                       .listed_ = listed_,
                                                       .folder_ = folder_ / instance.value_,
-                                                      .log_ = { .snapshotAfter_ = 20, .keptEntries_ = 5 },
-                                                      .seed_ = ++seed_ },
+                                                      .log_ = { .snapshotAfter_ = 20, .keptEntries_ = 5 } },
             std::move(callbacks));
         BOOST_LEAF_CHECK(task->start());
         const std::lock_guard lock(mutex_);
@@ -116,6 +116,12 @@
         return outcomes_[token];
     }
 
+    ControlMessage lastSent()
+    {
+        const std::lock_guard lock(notes_);
+        return sent_.back();
+    }
+
     // Repeats a change, as an operator does, until the log has decided it.
     ChangeOutcome change(const InstanceId& instance, const ControlChange& wanted)
     {
@@ -135,6 +141,7 @@
     std::map<std::uint64_t, ChangeOutcome> outcomes_;
     std::map<std::uint64_t, int> answerCounts_;
     std::vector<Failure> failures_;
+    std::vector<ControlMessage> sent_;
     std::uint64_t read_ { 0 };
     int dropped_ { 0 };
 
@@ -152,7 +159,6 @@
     std::map<InstanceId, std::unique_ptr<ControlTask>> tasks_;
     std::mutex notes_; // guards everything that callbacks write
     std::condition_variable noted_;
-    std::uint64_t seed_ { 0 };
     std::uint64_t token_ { 0 };
 };
 
@@ -241,6 +247,31 @@
     CHECK_FALSE(tasks.post(a, LocalRequest { 99, ControlRead {} }));
 }
 
+// Guards against a change that is acknowledged by the late response to another one: a task that starts again after a
+// storage failure must not use the request numbers of the task before it.
+TEST_CASE("request numbers are not used again by the next task of a process")
+{
+    Tasks tasks({ "a", "b" });
+    const auto a = tasks.listed_[0];
+    std::set<std::uint64_t> numbers;
+    for (int start = 1; start <= 2; ++start) {
+        REQUIRE(tasks.start(a));
+        REQUIRE(tasks.wait([](Tasks& all) { return !all.sent_.empty(); }));
+        // "b" leads; "a" forwards to it.
+        const ControlMessage heartbeat { "", InstanceId("b"), "b-1", tasks.lastSent().senderIdentity_, 5,
+            AppendRequest {} };
+        REQUIRE(tasks.post(a, ControlTask::PeerMessage { InstanceId("b"), encodeControlMessage(heartbeat) }));
+        REQUIRE(tasks.post(a, LocalRequest { static_cast<std::uint64_t>(start), ControlRead {} }));
+        const auto isForwarded
+            = [](Tasks& all) { return std::holds_alternative<RequestMessage>(all.sent_.back().body_); };
+        REQUIRE(tasks.wait(isForwarded));
+        numbers.insert(std::get<RequestMessage>(tasks.lastSent().body_).number_);
+        tasks.stop(a);
+        tasks.sent_.clear();
+    }
+    CHECK(numbers.size() == 2);
+}
+
 // Guards against a start on damaged files.
 TEST_CASE("a damaged journal stops the start")
 {
