Remove members that stop or are gone before the next loss counts

A planned replacement starts the successor, and then stops the old member, possibly just before the successor counts as available. A control member that is asked to stop now leaves the configuration first, if the others that answer bear the tolerated losses; it waits 1 s at most, and announces itself again when it is restarted. With three voters nothing changes.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -32,6 +32,8 @@
     // A member that is not heard for this long may have a connection that has gone silent.
     constexpr auto memberSilence = 1500ms;
     constexpr auto storageRetry = 500ms;
+    // A stopping member waits for its removal for this long: two elections, and far less than callers grant a stop.
+    constexpr auto departureTime = 1s;
     // Elections, restarts and the admission of a member are over within this time.
     constexpr auto impairmentReportTime = 2s;
     // Entries after which a snapshot is written, and entries kept behind it: a catalog of 350 routes has about 90 KB.
@@ -145,6 +147,8 @@
     options.log_.mayFound_ = settings_.mayFound_;
     options.log_.admitsUnlisted_ = true;
     options.log_.toleratedLosses_ = settings_.toleratedLosses_;
+    // A member that was replaced is removed before its successor counts as available.
+    options.log_.removeUnreachableAfter_ = settings_.catchUp_ * 3 / 4;
     options.log_.snapshotAfter_ = snapshotAfter;
     options.log_.keptEntries_ = keptEntries;
     options.log_.electionTimeout_ = electionTimeout;
@@ -191,7 +195,23 @@
 
 void ControlHost::receive(const Shutdown&)
 {
+    if (departureEnd_ != TimePoint())
+        return;
     LogLine(LogKind::Lifecycle, "stopping").with("role", "control");
+    departureEnd_ = Clock::now() + departureTime;
+    loop_.schedule(departureEnd_, [this] { stop(); });
+    depart();
+}
+
+void ControlHost::depart()
+{
+    if (!status_.isVoter_)
+        return stop();
+    submit(ControlMemberChange { false, self_, true }, { .isDeparture_ = true });
+}
+
+void ControlHost::stop()
+{
     duty_.setLeading(false);
     if (control_)
         control_->stop();
@@ -276,6 +296,17 @@
         duty_.granted(group, done ? std::optional(message.outcome_.revision_) : std::nullopt);
         return;
     }
+    if (call.isDeparture_) {
+        calls_.erase(found);
+        const bool isOver = done || message.outcome_.reason_ == Reason::NoControlMajority;
+        LogLine(LogKind::Belief, "departure_answered")
+            .with("outcome", outcomeName(message.outcome_.outcome_))
+            .with("detail", message.outcome_.detail_);
+        if (isOver)
+            return stop();
+        loop_.schedule(Clock::now() + tickInterval, [this] { depart(); });
+        return;
+    }
     if (done && call.isRead_) {
         call.wantedVersion_ = std::max<std::uint64_t>(message.outcome_.catalogVersion_, 1);
         answerReads();
@@ -663,7 +694,7 @@
     const auto now = Clock::now();
     expireRecords(registry_, now);
     std::erase_if(calls_, [&](const auto& item) {
-        if (item.second.grant_ || now < item.second.deadline_)
+        if (!item.second.connection_ || now < item.second.deadline_)
             return false;
         item.second.connection_->reply(statusReply(503));
         return true;
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -64,6 +64,7 @@
         HttpConnectionPtr connection_;
         std::uint64_t wantedVersion_ { 0 }; ///< A read: answered once this version is applied here. 0: not known yet.
         bool isRead_ { false };
+        bool isDeparture_ { false }; ///< No call, but the departure of this member.
         std::optional<GroupId> grant_; ///< Set: no call, but a grant that the duty waits for.
         TimePoint deadline_;
     };
@@ -82,6 +83,9 @@
     };
 
     void startControl();
+    /// Asks to be removed from the voters, so that the others tolerate losses while this member is away.
+    void depart();
+    void stop();
     void receiveAll();
     void receive(const Shutdown&);
     void receive(const Reload&);
@@ -144,6 +148,7 @@
     std::shared_ptr<const RouteCatalog> catalog_;
     std::unique_ptr<ControlTask> control_;
     ControlStatus status_;
+    TimePoint departureEnd_; ///< The epoch unless this member is stopping.
     std::string_view impairment_;
     TimePoint impairedAt_;
     bool isImpairmentReported_ { false };
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -14,6 +14,17 @@
             reader.checkAddress(reader.child(key), reader.pathOf(key), value);
     }
 
+    // In seconds, because the platform gives fractions of them.
+    void readCatchUp(SettingsReader& reader, std::chrono::milliseconds& value)
+    {
+        double seconds = std::chrono::duration<double>(value).count();
+        reader.read("catch_up_s", seconds, false, "a number of seconds");
+        if (!(seconds >= 0.5 && seconds <= 600))
+            return reader.fail(
+                reader.child("catch_up_s"), reader.pathOf("catch_up_s"), "is out of range; set it between 0.5 and 600");
+        value = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+    }
+
     void readListen(SettingsReader reader, NodeSettings& settings)
     {
         readOptionalAddress(reader, "statements", settings.statements_);
@@ -38,6 +49,7 @@
         reader.read("data_folder", settings.dataFolder_, false, "a folder on a disk of this instance");
         reader.read("may_found", settings.mayFound_, false, "true or false");
         reader.readCount("tolerated_losses", settings.toleratedLosses_, 0, maximumControlVoters / 2);
+        readCatchUp(reader, settings.catchUp_);
         readOptionalAddress(reader, "authority", settings.authority_);
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -22,6 +22,7 @@
     std::string dataFolder_; ///< Empty on an entry instance.
     bool mayFound_ { false }; ///< The deployment starts for the first time, with empty disks.
     std::size_t toleratedLosses_ { 1 }; ///< Control members that may be lost at once.
+    std::chrono::milliseconds catchUp_ { 4000 }; ///< After its start, a control member counts as available.
     std::string authority_; ///< Where promotions are ordered, ip:port, or empty.
     std::chrono::milliseconds heartbeat_ { 1200 }; ///< The interval at which endpoints report.
     std::chrono::milliseconds shutdown_ { 6000 }; ///< From the signal to the forced end.
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -143,6 +143,9 @@
 struct ControlMemberChange {
     bool add_ { true };
     InstanceId instance_;
+    /// The removed member stops by itself and may come back. Refused with NoControlMajority if the others would not
+    /// bear the tolerated losses.
+    bool isDeparture_ { false };
 };
 /// Reads the current settings, confirmed by a majority.
 struct ControlRead { };
--- a/src/version/ControlCodec.cpp
+++ b/src/version/ControlCodec.cpp
@@ -357,7 +357,8 @@
             break;
         }
         case wire::ControlRequest::kMember:
-            message.request_ = ControlMemberChange { in.member().add(), InstanceId(in.member().instance()) };
+            message.request_ = ControlMemberChange { in.member().add(), InstanceId(in.member().instance()),
+                in.member().departure() };
             break;
         case wire::ControlRequest::kRead:
             break;
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -621,21 +621,36 @@
         return responding > voterCount(configuration) / 2 + losses;
     }
 
-    // Returns the configuration without the voters that sent no response within `silence`. Keeps as many voters as are
-    // needed for every majority to hold one disk more than may be lost.
-    ControlConfiguration withoutSilentVoters(const Step& step, Duration silence)
+    // Returns the number of voters below which none is removed because it is silent or departs.
+    std::size_t requiredVoters(const ControlLogState& state)
+    {
+        return std::max(minimumVoters, 2 * state.options_.toleratedLosses_ + 1);
+    }
+
+    // Returns the voters that sent no response within `silence` and can be spared, the longest silent first. So many
+    // remain that every majority holds one disk more than may be lost.
+    std::vector<std::string> spareVoters(const Step& step, Duration silence)
     {
         const auto& state = step.state_;
-        auto next = *state.configuration_;
-        const auto minimum = std::max(minimumVoters, 2 * state.options_.toleratedLosses_ + 1);
-        auto removable = voterCount(next) - std::min(voterCount(next), minimum);
-        std::erase_if(next.members_, [&](const ControlMember& member) {
-            if (!member.voter_ || removable == 0 || respondedWithin(step, member.identity_, silence))
-                return false;
-            --removable;
-            return true;
+        std::vector<std::string> spare;
+        for (const auto& member : state.configuration_->members_) {
+            if (member.voter_ && !respondedWithin(step, member.identity_, silence))
+                spare.push_back(member.identity_);
+        }
+        std::stable_sort(spare.begin(), spare.end(), [&](const std::string& one, const std::string& other) {
+            return state.progress_.at(one).lastReceivedAt_ < state.progress_.at(other).lastReceivedAt_;
         });
-        return next;
+        const auto voters = voterCount(*state.configuration_);
+        spare.resize(std::min(spare.size(), voters - std::min(voters, requiredVoters(state))));
+        return spare;
+    }
+
+    ControlConfiguration withoutMembers(ControlConfiguration configuration, const std::vector<std::string>& identities)
+    {
+        std::erase_if(configuration.members_, [&](const ControlMember& member) {
+            return std::find(identities.begin(), identities.end(), member.identity_) != identities.end();
+        });
+        return configuration;
     }
 
     // Removes a voter that has been unreachable for long, or soon if the next losses would otherwise leave no majority:
@@ -647,18 +662,15 @@
         if (!options.admitsUnlisted_)
             return false;
         const auto& current = *state.configuration_;
-        auto target = withoutSilentVoters(step, options.restoreToleranceAfter_);
         const auto tolerates = [&](const ControlConfiguration& configuration) {
             return toleratesLosses(step, configuration, options.restoreToleranceAfter_, options.toleratedLosses_);
         };
-        if (tolerates(current) || !tolerates(target))
-            target = withoutSilentVoters(step, options.removeUnreachableAfter_);
-        for (const auto& member : current.members_) {
-            if (isMember(target, member.identity_))
-                continue;
-            auto next = current;
-            std::erase_if(next.members_, [&](const auto& m) { return m.identity_ == member.identity_; });
-            if (!hasMajority(next, [&](const std::string& identity) { return isReachable(step, identity); }))
+        auto spare = spareVoters(step, options.restoreToleranceAfter_);
+        if (tolerates(current) || !tolerates(withoutMembers(current, spare)))
+            spare = spareVoters(step, options.removeUnreachableAfter_);
+        for (const auto& identity : spare) {
+            auto next = withoutMembers(current, { identity });
+            if (!hasMajority(next, [&](const std::string& voter) { return isReachable(step, voter); }))
                 continue;
             propose(step, std::move(next), std::nullopt);
             return true;
@@ -758,6 +770,10 @@
             next.members_.push_back({ change.instance_, hello->second.identity_, false });
         } else {
             std::erase_if(next.members_, isTarget);
+            const bool isBearable = voterCount(next) >= requiredVoters(state)
+                && toleratesLosses(step, next, state.options_.electionTimeout_, state.options_.toleratedLosses_);
+            if (change.isDeparture_ && !isBearable)
+                return refuse(Reason::NoControlMajority, "too few voting control members would remain");
             if (voterCount(next) == 0)
                 return refuse(Reason::SettingsInvalid, "the last voting control member cannot be removed");
             // Without a reachable majority, neither this change nor any later one could be committed.
--- a/tests/ControlCodecTest.cpp
+++ b/tests/ControlCodecTest.cpp
@@ -58,6 +58,7 @@
     add(AppendResponse { true, 12, 18 });
     add(RequestMessage { 77, deadlineChange("k", 3, 9) });
     add(RequestMessage { 78, ControlMemberChange { true, InstanceId("d") } });
+    add(RequestMessage { 79, ControlMemberChange { false, InstanceId("d"), true } });
     add(RequestMessage { 79, ControlRead {} });
     add(ResponseMessage { 77, undecidedOutcome(Outcome::NotRun, Reason::NotLeader, "the leader is b"), nullptr });
     add(ResponseMessage { 79, { .outcome_ = Outcome::Done, .revision_ = 3, .decided_ = true },
--- a/tests/ControlLossTest.cpp
+++ b/tests/ControlLossTest.cpp
@@ -50,6 +50,7 @@
 struct Series {
     std::uint64_t seed_;
     std::size_t size_;
+    std::size_t losses_; // The disks that may be lost at once.
 };
 
 struct Result {
@@ -60,10 +61,12 @@
 };
 
 // The settings of the daemon's control host; short snapshots, so that lagging members need one.
-ControlLogOptions hostOptions(bool isCompacting)
+ControlLogOptions hostOptions(std::size_t losses, bool isCompacting)
 {
     ControlLogOptions options;
+    options.toleratedLosses_ = losses;
     options.admitsUnlisted_ = true;
+    options.removeUnreachableAfter_ = catchUpTime * 3 / 4;
     options.electionTimeout_ = 400ms;
     options.heartbeatInterval_ = 120ms;
     options.helloInterval_ = 250ms;
@@ -75,10 +78,11 @@
 class SeriesRun {
 public:
     SeriesRun(const Series& series, const std::filesystem::path& folder, bool isRecording)
-        : random_(series.seed_ * 7919 + series.size_)
+        : losses_(series.losses_)
+        , random_(series.seed_ * 7919 + series.size_)
         , cluster_({ .seed_ = series.seed_,
               .size_ = series.size_,
-              .log_ = hostOptions(random_() % 2 == 0),
+              .log_ = hostOptions(series.losses_, random_() % 2 == 0),
               .folder_ = folder,
               .records_ = isRecording })
     {
@@ -206,14 +210,15 @@
         }
     }
 
-    // Up to three disruptions that may overlap, at most one of which loses a disk, and then a quiet catch-up time.
+    // Disruptions that may overlap, some of which lose as many disks as may be lost at once, and then a quiet catch-up
+    // time.
     void playEpisode()
     {
         end_ = cluster_.now();
         const auto count = random_() % 3;
         const auto diskAt = random_() % (count + 1);
-        for (std::size_t i = 0; i <= count; ++i) {
-            if (i == diskAt)
+        for (std::size_t i = 0; i < count + losses_; ++i) {
+            if (i >= diskAt && i < diskAt + losses_)
                 loseDisk();
             else
                 disrupt();
@@ -223,16 +228,18 @@
         cluster_.runFor(end_ - cluster_.now());
     }
 
-    // The disk of one member, and the power of all others, right after an acknowledgement.
+    // As many disks as may be lost, and the power of all other members, right after an acknowledgement.
     void loseDiskAtAcknowledgement()
     {
         bool isOver = false;
         const auto strike = [&] {
             if (std::exchange(isOver, true))
                 return;
-            const auto lost = victim();
+            std::set<std::string> lost;
+            while (lost.size() < losses_)
+                lost.insert(victim());
             for (const auto& name : cluster_.names()) {
-                if (name == lost)
+                if (lost.contains(name))
                     cluster_.loseDisk(name, 800ms);
                 else
                     cluster_.losePower(name, 800ms);
@@ -263,6 +270,7 @@
             result_.violations_.emplace_back("no change acknowledged after the last loss");
     }
 
+    const std::size_t losses_;
     std::mt19937_64 random_;
     ControlCluster cluster_;
     TimePoint end_;
@@ -314,9 +322,14 @@
 
 std::vector<Series> seriesFrom(std::uint64_t first, std::size_t count)
 {
+    // Members and tolerated losses of deployments.
+    constexpr Series shapes[] { { 0, 3, 1 }, { 0, 4, 1 }, { 0, 5, 1 }, { 0, 5, 2 }, { 0, 7, 2 }, { 0, 8, 2 } };
     std::vector<Series> all;
-    for (std::size_t i = 0; i < count; ++i)
-        all.push_back({ first + i, 3 + (first + i) % 3 });
+    for (std::size_t i = 0; i < count; ++i) {
+        auto series = shapes[(first + i) % std::size(shapes)];
+        series.seed_ = first + i;
+        all.push_back(series);
+    }
     return all;
 }
 
--- a/tests/NodeSettingsTest.cpp
+++ b/tests/NodeSettingsTest.cpp
@@ -24,6 +24,8 @@
 data_centre: a
 listen: {statements: "10.0.0.1:80", readiness: "10.0.0.1:81", peers: "10.0.0.1:7440"}
 seeds: ["10.0.0.9:8782"]
+tolerated_losses: 2
+catch_up_s: 2.5
 deployment_key: "0123456789abcdef"
 shutdown_ms: 4000
 )";
@@ -42,6 +44,8 @@
     CHECK(settings.shutdown_ == 4s);
     CHECK(settings.heartbeat_ == 1200ms);
     CHECK(peerAddressOf(settings, settings.seeds_[0]) == "10.0.0.9:7440");
+    CHECK(settings.toleratedLosses_ == 2);
+    CHECK(settings.catchUp_ == std::chrono::milliseconds(2500));
 }
 
 // Guards against a process that starts with a settings file that nobody meant.
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -13,6 +13,8 @@
 
     // The interval at which a control task is started again after its storage failed, as in the daemon.
     inline constexpr Duration storageRetry = std::chrono::milliseconds(500);
+    // The time for which a stopping member waits for its removal, as in the daemon.
+    inline constexpr Duration departureTime = std::chrono::seconds(1);
     inline constexpr Duration tickInterval = std::chrono::milliseconds(50);
     inline constexpr Duration clientInterval = std::chrono::milliseconds(20);
     // A client asks the next instance after this time without an answer.
@@ -146,6 +148,8 @@
 {
     machine.log_.reset();
     machine.storage_.reset();
+    machine.isStopping_ = false;
+    machine.hasDeparted_ = false;
     ++machine.starts_;
 }
 
@@ -195,10 +199,25 @@
     if (!one.log_)
         return;
     note("terminated: " + name);
-    if (down)
-        losePower(name, *down);
-    else
-        removeForever(name);
+    one.isStopping_ = true;
+    depart(name, down, now_ + detail::departureTime);
+}
+
+inline void ControlCluster::depart(const std::string& name, std::optional<Duration> down, TimePoint end)
+{
+    auto& one = machine(name);
+    if (!one.isStopping_)
+        return;
+    if (one.hasDeparted_ || now_ >= end) {
+        if (down)
+            losePower(name, *down);
+        else
+            removeForever(name);
+        return;
+    }
+    if (one.log_)
+        ask(name, ControlMemberChange { false, InstanceId(name), true }, { .name_ = name, .isDeparture_ = true });
+    push(now_ + detail::tickInterval, [this, name, down, end] { depart(name, down, end); });
 }
 
 inline void ControlCluster::cut(const std::string& name, bool in, bool out, Duration time)
@@ -412,6 +431,11 @@
     }
     const auto call = found->second;
     calls_.erase(found);
+    if (call.isDeparture_) {
+        machine(call.name_).hasDeparted_
+            |= answer.outcome_.outcome_ == Outcome::Done || answer.outcome_.reason_ == Reason::NoControlMajority;
+        return;
+    }
     if (answer.outcome_.outcome_ != Outcome::Done)
         return;
     if (call.isRead_) {
--- a/tests/support/ControlCluster.h
+++ b/tests/support/ControlCluster.h
@@ -47,7 +47,8 @@
     void losePower(const std::string& name, Duration down);
     /// The member restarts with an empty disk at the same address.
     void loseDisk(const std::string& name, Duration down);
-    /// Asks the member to stop. It starts again after `down`, or never.
+    /// Asks the member to stop: it leaves the configuration first if enough voters remain. Starts again after `down`,
+    /// or never.
     void terminate(const std::string& name, std::optional<Duration> down);
     void cut(const std::string& name, bool in, bool out, Duration);
     void split(const std::set<std::string>& side, Duration);
@@ -79,6 +80,8 @@
         std::string identity_;
         bool mayFound_ { false };
         bool isGone_ { false };
+        bool isStopping_ { false };
+        bool hasDeparted_ { false };
         ControlStored stored_; ///< Without files: the durable contents.
         std::optional<ControlStorage> storage_;
         std::optional<ControlLogState> log_;
@@ -103,12 +106,14 @@
         bool isRead_ { false };
         std::uint64_t version_ { 0 }; ///< The version of a change; of a read, the acknowledged one when it was sent.
         bool isReadBack_ { false };
+        bool isDeparture_ { false };
     };
 
     void push(TimePoint, std::function<void()>);
     std::vector<InstanceId> currentSeeds();
     Machine& machine(const std::string& name) { return machines_.at(InstanceId(name)); }
     void stop(Machine&);
+    void depart(const std::string& name, std::optional<Duration> down, TimePoint end);
     void start(const std::string& name);
     bool openFiles(const std::string& name, Machine&);
     void tick(const InstanceId&, std::uint64_t start);
