--- a/tests/ControlCatalogTest.cpp
+++ b/tests/ControlCatalogTest.cpp
@@ -276,6 +276,62 @@
     CHECK(members.voters() == std::set<std::string> { "a", "b", "e" });
 }
 
+// Guards against a member that stops for good just before the next loss, and against stops that use up the tolerance.
+TEST_CASE("a member that stops leaves the voters if the others bear a loss")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.start("d", true);
+    members.run(5s);
+    REQUIRE(members.voters().size() == 4);
+    const auto depart = [&](const std::string& name) {
+        members.answers_.clear();
+        const InstanceId instance(name);
+        members.take(step(members.logs_.at(instance), LocalRequest { 1, ControlMemberChange { false, instance, true } },
+            members.now_));
+        members.run(100ms);
+        REQUIRE(members.answers_.size() == 1);
+        return members.answers_[0].outcome_;
+    };
+    const auto leader = members.leader();
+    CHECK(depart(leader).outcome_ == Outcome::Done);
+    members.logs_.erase(InstanceId(leader));
+    members.run(2s);
+    CHECK(members.voters().size() == 3);
+    CHECK_FALSE(members.voters().contains(leader));
+    const auto refused = depart(members.leader());
+    CHECK(refused.outcome_ == Outcome::NotRun);
+    CHECK(refused.reason_ == Reason::NoControlMajority);
+    CHECK(members.voters().size() == 3);
+    // Restarted, it votes again.
+    members.start(leader, false);
+    members.run(2s);
+    CHECK(members.voters().size() == 4);
+}
+
+// Guards against the removal of a member that is away for a moment in place of one that is gone.
+TEST_CASE("the member that was silent for longer is removed first")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    for (const auto* name : { "d", "e" })
+        members.start(name, true);
+    members.run(5s);
+    const auto leader = members.leader();
+    REQUIRE(leader != "e");
+    members.silent_.insert(InstanceId("e"));
+    members.run(members.options_.removeUnreachableAfter_ / 2);
+    REQUIRE(members.voters().size() == 5);
+    const std::string other = leader == "b" ? "c" : "b";
+    members.silent_.insert(InstanceId(other));
+    while (members.voters().size() == 5)
+        members.run(10ms);
+    CHECK_FALSE(members.voters().contains("e"));
+    CHECK(members.voters().contains(other));
+}
+
 // Guards against a removal that leaves too few members, and against one because of a short silence.
 TEST_CASE("silent members keep their votes while the others are few, or the silence is short")
 {
