Play held-up messages and crashes during a write in the search for lost majorities

The search lost messages of members that were cut off, ended power only between two steps, and lost the power of all members together with a disk only at the end, for the same time at all. A cut now holds messages up in half of the series, as open connections do; power is lost between a write and what is sent on the strength of it; the power of all goes with a disk in the middle of a series too; members come back in any order.

--- a/tests/ControlLossTest.cpp
+++ b/tests/ControlLossTest.cpp
@@ -1,5 +1,7 @@
 // Searches for series of disruptions after which the control log has no majority, although no more disks were lost at
 // once than it tolerates. Between two losses of a disk, all members run undisturbed for a catch-up time.
+//
+// CONTROL_LOSS_FIRST, CONTROL_LOSS_SERIES and CONTROL_LOSS_FILE_SERIES choose other seeds and more series.
 
 #include "support/ControlCluster.h"
 
@@ -32,6 +34,7 @@
 
 enum class Disruption {
     LosePower,
+    LosePowerAtWrite,
     LoseAllPower,
     Cut,
     CutIn,
@@ -45,7 +48,7 @@
     Count
 };
 
-enum class DiskLoss { None, LoseDisk, Replace, ReplacePlanned, Add, Count };
+enum class DiskLoss { None, LoseDisk, LoseDiskAndPower, Replace, ReplacePlanned, Add, Count };
 
 struct Series {
     std::uint64_t seed_;
@@ -84,7 +87,8 @@
               .size_ = series.size_,
               .log_ = hostOptions(series.losses_, random_() % 2 == 0),
               .folder_ = folder,
-              .records_ = isRecording })
+              .records_ = isRecording,
+              .delaysCutMessages_ = random_() % 2 == 0 })
     {
     }
 
@@ -133,6 +137,9 @@
         case Disruption::LosePower:
             cluster_.losePower(name, down);
             return lasts(down);
+        case Disruption::LosePowerAtWrite:
+            cluster_.losePowerAtWrite(name, down);
+            return lasts(1s + down);
         case Disruption::LoseAllPower:
             for (const auto& one : cluster_.names())
                 cluster_.losePower(one, down);
@@ -191,6 +198,8 @@
         case DiskLoss::LoseDisk:
             cluster_.loseDisk(name, down);
             return lasts(down);
+        case DiskLoss::LoseDiskAndPower:
+            return loseDisksAndPower({ name });
         case DiskLoss::Replace:
             cluster_.removeForever(name);
             cluster_.at(cluster_.now() + down, [this] { cluster_.add(); });
@@ -228,6 +237,19 @@
         cluster_.runFor(end_ - cluster_.now());
     }
 
+    // The disks of some members and the power of all others. The members come back in any order.
+    void loseDisksAndPower(const std::set<std::string>& lost)
+    {
+        for (const auto& name : cluster_.names()) {
+            const auto down = between(100ms, 3s);
+            if (lost.contains(name))
+                cluster_.loseDisk(name, down);
+            else
+                cluster_.losePower(name, down);
+            lasts(down);
+        }
+    }
+
     // As many disks as may be lost, and the power of all other members, right after an acknowledgement.
     void loseDiskAtAcknowledgement()
     {
@@ -238,12 +260,7 @@
             std::set<std::string> lost;
             while (lost.size() < losses_)
                 lost.insert(victim());
-            for (const auto& name : cluster_.names()) {
-                if (lost.contains(name))
-                    cluster_.loseDisk(name, 800ms);
-                else
-                    cluster_.losePower(name, 800ms);
-            }
+            loseDisksAndPower(lost);
         };
         cluster_.onAcknowledged(strike);
         if (!cluster_.runUntil([&] { return isOver; }, serviceTime)) {
@@ -254,7 +271,7 @@
 
     void checkService()
     {
-        cluster_.runFor(800ms);
+        cluster_.runFor(std::max<Duration>(end_ - cluster_.now(), 0ms));
         const auto before = cluster_.acknowledgements();
         const auto wanted = cluster_.acknowledgedVersion();
         const auto end = cluster_.now() + serviceTime;
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -16,6 +16,8 @@
     // The time for which a stopping member waits for its removal, as in the daemon.
     inline constexpr Duration departureTime = std::chrono::seconds(1);
     inline constexpr Duration tickInterval = std::chrono::milliseconds(50);
+    // A loss of power during the next write happens within this time, or not at all.
+    inline constexpr Duration writeWait = std::chrono::seconds(1);
     inline constexpr Duration clientInterval = std::chrono::milliseconds(20);
     // A client asks the next instance after this time without an answer.
     inline constexpr Duration clientPatience = std::chrono::milliseconds(800);
@@ -150,6 +152,7 @@
     machine.storage_.reset();
     machine.isStopping_ = false;
     machine.hasDeparted_ = false;
+    machine.downAtWrite_.reset();
     ++machine.starts_;
 }
 
@@ -170,6 +173,14 @@
     });
 }
 
+inline void ControlCluster::losePowerAtWrite(const std::string& name, Duration down)
+{
+    note("power lost at the next write: " + name);
+    auto& one = machine(name);
+    one.downAtWrite_ = down;
+    push(now_ + detail::writeWait, [this, name] { machine(name).downAtWrite_.reset(); });
+}
+
 inline void ControlCluster::loseDisk(const std::string& name, Duration down)
 {
     auto& one = machine(name);
@@ -369,6 +380,10 @@
 
 inline bool ControlCluster::persist(const InstanceId& instance, Machine& one, const PersistAction& action)
 {
+    if (one.downAtWrite_ && random_() % 2 == 0) {
+        losePower(instance.value_, *one.downAtWrite_);
+        return false;
+    }
     bool isWritten = one.fullUntil_ <= now_;
     if (one.storage_) {
         std::optional<detail::FileSizeLimit> limit;
@@ -383,6 +398,10 @@
     } else if (isWritten) {
         applyPersist(one.stored_, action);
     }
+    if (one.downAtWrite_) {
+        losePower(instance.value_, *one.downAtWrite_);
+        return false;
+    }
     if (isWritten)
         return true;
     note("storage of " + instance.value_ + " fails");
@@ -394,22 +413,35 @@
     return false;
 }
 
-inline bool ControlCluster::isConnected(const InstanceId& sender, const InstanceId& recipient) const
+inline TimePoint ControlCluster::cutUntil(const InstanceId& sender, const InstanceId& recipient) const
 {
-    const auto& from = machines_.at(sender);
-    const auto to = machines_.find(recipient);
-    return to != machines_.end() && from.cutOutUntil_ <= now_ && to->second.cutInUntil_ <= now_
-        && (splitUntil_ <= now_ || side_.contains(sender) == side_.contains(recipient));
+    TimePoint end = std::max(machines_.at(sender).cutOutUntil_, machines_.at(recipient).cutInUntil_);
+    if (side_.contains(sender) != side_.contains(recipient))
+        end = std::max(end, splitUntil_);
+    return end > now_ ? end : TimePoint();
 }
 
 inline void ControlCluster::transmit(const InstanceId& sender, const SendAction& send)
 {
-    if (!isConnected(sender, send.recipient_))
+    const auto recipient = machines_.find(send.recipient_);
+    if (recipient == machines_.end())
         return;
     std::uniform_int_distribution<int> latency(500, 2000);
-    push(now_ + std::chrono::microseconds(latency(random_)), [this, sender, send] {
-        if (isConnected(sender, send.recipient_))
-            deliver(send.recipient_, send.message_, 0);
+    push(now_ + std::chrono::microseconds(latency(random_)),
+        [this, sender, send, start = machines_.at(sender).starts_] { arrive(sender, send, start); });
+}
+
+inline void ControlCluster::arrive(const InstanceId& sender, const SendAction& send, std::uint64_t start)
+{
+    const auto end = cutUntil(sender, send.recipient_);
+    if (end == TimePoint())
+        return deliver(send.recipient_, send.message_, 0);
+    // The unsent bytes of a connection are lost with the process of the sender.
+    if (!options_.delaysCutMessages_)
+        return;
+    push(end, [this, sender, send, start] {
+        if (machines_.at(sender).starts_ == start)
+            arrive(sender, send, start);
     });
 }
 
--- a/tests/support/ControlCluster.h
+++ b/tests/support/ControlCluster.h
@@ -28,6 +28,9 @@
         std::filesystem::path
             folder_; ///< If set, members write real files below it; otherwise memory stands for disks.
         bool records_ { false }; ///< Collects history().
+        /// Whether messages to and from members that are cut off arrive when the cut is over, as bytes of open
+        /// connections do. Otherwise, they are lost.
+        bool delaysCutMessages_ { false };
     };
 
     explicit ControlCluster(Options);
@@ -45,6 +48,9 @@
 
     // Disruptions. Each ends by itself after the given time.
     void losePower(const std::string& name, Duration down);
+    /// The member loses power during its next write within a second, before it sends anything on the strength of it.
+    /// The write is durable or lost.
+    void losePowerAtWrite(const std::string& name, Duration down);
     /// The member restarts with an empty disk at the same address.
     void loseDisk(const std::string& name, Duration down);
     /// Asks the member to stop: it leaves the configuration first if enough voters remain. Starts again after `down`,
@@ -87,6 +93,7 @@
         std::optional<ControlLogState> log_;
         std::uint64_t starts_ { 0 };
         TimePoint downUntil_, cutInUntil_, cutOutUntil_, frozenUntil_, fullUntil_;
+        std::optional<Duration> downAtWrite_; ///< Set if the next write ends with a loss of power for this time.
         std::uint64_t maximumFileSize_ { 0 }; ///< With files: the size at which a full disk refuses a write.
     };
 
@@ -120,7 +127,9 @@
     void deliver(const InstanceId&, const ControlEvent&, std::uint64_t start);
     bool persist(const InstanceId&, Machine&, const PersistAction&);
     void transmit(const InstanceId& sender, const SendAction&);
-    bool isConnected(const InstanceId& sender, const InstanceId& recipient) const;
+    void arrive(const InstanceId& sender, const SendAction&, std::uint64_t start);
+    /// Returns when messages between the instances arrive again, or the epoch if they do now.
+    TimePoint cutUntil(const InstanceId& sender, const InstanceId& recipient) const;
     std::uint64_t ask(const std::string& name, ControlRequest, Call);
     void observe(const ResponseAction&);
     void observe(const std::string& name, const CatalogDocument&);
