Share the durable replacement of files

The control log and the copy of the directory each had their own. Behaviour is as before; ControlStorageTest, which fails each file operation, passes.

--- a/include/cassiahollow/cassiahollow.h
+++ b/include/cassiahollow/cassiahollow.h
@@ -8,6 +8,7 @@
 #include "cassiahollow/connection/SqlSession.h"
 #include "cassiahollow/process/Directory.h"
 #include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/process/DurableFile.h"
 #include "cassiahollow/process/EndpointRegistry.h"
 #include "cassiahollow/process/HolderMap.h"
 #include "cassiahollow/process/Mailbox.h"
--- a/include/cassiahollow/version/ControlStorage.h
+++ b/include/cassiahollow/version/ControlStorage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiahollow/process/DurableFile.h"
 #include "cassiahollow/version/ControlLog.h"
 
 #include <boost/leaf/result.hpp>
@@ -11,21 +12,6 @@
 
 namespace cassiahollow {
 
-/// Owns a file descriptor and closes it on destruction.
-class FileHandle {
-public:
-    FileHandle() = default;
-    explicit FileHandle(int descriptor);
-    FileHandle(FileHandle&&) noexcept;
-    FileHandle& operator=(FileHandle&&) noexcept;
-    ~FileHandle();
-
-    int get() const { return descriptor_; }
-
-private:
-    int descriptor_ { -1 };
-};
-
 /// The files of one control member, all in one folder:
 ///
 /// - `identity`: the random id of the folder, written last on first start.
--- a/src/version/ControlStorage.cpp
+++ b/src/version/ControlStorage.cpp
@@ -40,13 +40,6 @@
     constexpr const char* lockName = "lock";
     constexpr const char* settingsName = "applied-settings";
 
-    auto systemFailure(const fs::path& path, const char* operation)
-    {
-        const int error = errno;
-        return leaf::new_error(Failure { Reason::StorageFailed,
-            path.string() + ": " + operation + " failed: " + std::generic_category().message(error) });
-    }
-
     auto damageFailure(const fs::path& path, std::size_t offset, const std::string& what)
     {
         return leaf::new_error(
@@ -145,31 +138,6 @@
         }
     }
 
-    leaf::result<void> writeAndSync(const fs::path& path, int descriptor, std::string_view bytes)
-    {
-        while (!bytes.empty()) {
-            const auto count = ::write(descriptor, bytes.data(), bytes.size());
-            if (count < 0 && errno == EINTR)
-                continue;
-            if (count < 0)
-                return systemFailure(path, "write");
-            bytes.remove_prefix(static_cast<std::size_t>(count));
-        }
-        if (::fsync(descriptor) != 0)
-            return systemFailure(path, "fsync");
-        return {};
-    }
-
-    leaf::result<void> syncFolder(const fs::path& folder)
-    {
-        const FileHandle handle(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-        if (handle.get() < 0)
-            return systemFailure(folder, "open");
-        if (::fsync(handle.get()) != 0)
-            return systemFailure(folder, "fsync");
-        return {};
-    }
-
     // Creates the folder and its missing parents, and syncs the parent of each.
     leaf::result<void> createFolder(const fs::path& folder)
     {
@@ -184,22 +152,6 @@
         return syncFolder(parent);
     }
 
-    // Replaces a file atomically: after a crash it has either the old or the new content. Returns the file, open for
-    // appending.
-    leaf::result<FileHandle> replaceFile(const fs::path& path, std::string_view bytes)
-    {
-        auto temporary = path;
-        temporary += ".new";
-        FileHandle file(::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0640));
-        if (file.get() < 0)
-            return systemFailure(temporary, "open");
-        BOOST_LEAF_CHECK(writeAndSync(temporary, file.get(), bytes));
-        if (::rename(temporary.c_str(), path.c_str()) != 0)
-            return systemFailure(path, "rename");
-        BOOST_LEAF_CHECK(syncFolder(path.parent_path()));
-        return file;
-    }
-
     // Reads a file that replaceFile wrote with one record. Such a file is never torn.
     leaf::result<std::string> readSingleRecord(const fs::path& path)
     {
@@ -344,28 +296,6 @@
 
 } // namespace
 
-FileHandle::FileHandle(int descriptor)
-    : descriptor_(descriptor)
-{
-}
-
-FileHandle::FileHandle(FileHandle&& other) noexcept
-    : descriptor_(std::exchange(other.descriptor_, -1))
-{
-}
-
-FileHandle& FileHandle::operator=(FileHandle&& other) noexcept
-{
-    std::swap(descriptor_, other.descriptor_);
-    return *this;
-}
-
-FileHandle::~FileHandle()
-{
-    if (descriptor_ >= 0)
-        ::close(descriptor_);
-}
-
 leaf::result<ControlStorage> openControlStorage(const fs::path& folder, const std::string& newIdentity)
 {
     BOOST_LEAF_CHECK(createFolder(folder));
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <boost/leaf/handle_errors.hpp>
+#include "FileSizeLimit.h"
 
-#include <sys/resource.h>
+#include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
-#include <csignal>
 
 namespace cassiahollow::fake {
 
@@ -25,25 +24,6 @@
     inline constexpr Duration seedLag = std::chrono::seconds(3);
     inline constexpr std::size_t seedCount = 3;
 
-    // While it exists, writes beyond a file size fail, as they do on a full disk.
-    class FileSizeLimit {
-    public:
-        explicit FileSizeLimit(std::uint64_t bytes)
-        {
-            std::signal(SIGXFSZ, SIG_IGN);
-            getrlimit(RLIMIT_FSIZE, &before_);
-            rlimit limit = before_;
-            limit.rlim_cur = std::min<rlim_t>(bytes, before_.rlim_max);
-            setrlimit(RLIMIT_FSIZE, &limit);
-        }
-        ~FileSizeLimit() { setrlimit(RLIMIT_FSIZE, &before_); }
-        FileSizeLimit(const FileSizeLimit&) = delete;
-        FileSizeLimit& operator=(const FileSizeLimit&) = delete;
-
-    private:
-        rlimit before_ {};
-    };
-
     inline std::string documentOf(std::uint64_t version)
     {
         return "document " + std::to_string(version);
@@ -290,7 +270,7 @@
 
 inline bool ControlCluster::openFiles(const std::string& name, Machine& one)
 {
-    std::optional<detail::FileSizeLimit> limit;
+    std::optional<FileSizeLimit> limit;
     if (one.fullUntil_ > now_)
         limit.emplace(one.maximumFileSize_);
     return boost::leaf::try_handle_all(
@@ -386,7 +366,7 @@
     }
     bool isWritten = one.fullUntil_ <= now_;
     if (one.storage_) {
-        std::optional<detail::FileSizeLimit> limit;
+        std::optional<FileSizeLimit> limit;
         if (!isWritten)
             limit.emplace(one.maximumFileSize_);
         isWritten = boost::leaf::try_handle_all(
