Write the copy of the directory again after a failed write

A failed write is now repeated every 0.5 s with the newest contents. The log line names the failed operation. The new test fails without the retry: no copy within 5 s after the disk has space; with it, all three cases pass.

--- a/daemon/process/DirectoryStore.cpp
+++ b/daemon/process/DirectoryStore.cpp
@@ -1,15 +1,13 @@
 #include "process/DirectoryStore.h"
 
-#include "cassiahollow/version/ControlStorage.h"
+#include "cassiahollow/process/DurableFile.h"
 #include "process/EventLog.h"
+#include "process/ValueOrFailure.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <cstring>
-#include <fcntl.h>
 #include <fstream>
 #include <iterator>
 #include <sstream>
-#include <unistd.h>
 
 namespace cassiahollow {
 
@@ -17,27 +15,8 @@
 
     // Reports of several endpoints and catalogs that change together are written once.
     constexpr auto writePause = std::chrono::milliseconds(100);
-
-    bool syncFolder(const std::filesystem::path& folder)
-    {
-        const FileHandle handle(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-        return handle.get() >= 0 && fsync(handle.get()) == 0;
-    }
-
-    bool writeSynced(const std::filesystem::path& file, const std::string& bytes)
-    {
-        auto next = file;
-        next += ".new";
-        {
-            const FileHandle handle(::open(next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
-            const bool written = handle.get() >= 0
-                && ::write(handle.get(), bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size())
-                && fsync(handle.get()) == 0;
-            if (!written)
-                return false;
-        }
-        return std::rename(next.c_str(), file.c_str()) == 0 && syncFolder(file.parent_path());
-    }
+    // A full disk usually has space again after some seconds.
+    constexpr auto retryPause = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -105,20 +84,25 @@
 
 void DirectoryStore::run()
 {
-    bool failing = false;
+    bool isFailing = false;
     std::unique_lock lock(mutex_);
     while (!stopping_) {
         arrived_.wait(lock, [this] { return stopping_ || pending_; });
-        arrived_.wait_for(lock, writePause, [this] { return stopping_; });
+        arrived_.wait_for(lock, isFailing ? retryPause : writePause, [this] { return stopping_; });
         if (!pending_)
             continue;
-        const auto bytes = *std::exchange(pending_, std::nullopt);
+        auto bytes = *std::exchange(pending_, std::nullopt);
         lock.unlock();
-        const bool written = writeSynced(file_, bytes);
-        if (written == failing)
-            LogLine(LogKind::Dependency, written ? "directory_copy_written" : "directory_copy_failed");
-        failing = !written;
+        Failure failure;
+        const bool isWritten = valueOrFailure([&] { return replaceFile(file_, bytes); }, failure).has_value();
+        if (!isWritten && !isFailing)
+            LogLine(LogKind::Dependency, "directory_copy_failed").with("detail", failureMessage(failure));
+        else if (isWritten && isFailing)
+            LogLine(LogKind::Dependency, "directory_copy_written");
+        isFailing = !isWritten;
         lock.lock();
+        if (isFailing && !pending_)
+            pending_ = std::move(bytes);
     }
 }
 
--- a/tests/DirectoryStoreTest.cpp
+++ b/tests/DirectoryStoreTest.cpp
@@ -1,5 +1,7 @@
 #include "process/DirectoryStore.h"
 
+#include "support/FileSizeLimit.h"
+
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -65,3 +67,25 @@
     CHECK_FALSE(copy.catalog_);
     CHECK(copy.instances_ == 0);
 }
+
+// Guards against a copy that stays old after the disk was full: no later change has to come.
+TEST_CASE("a copy that could not be written is written once the disk has space")
+{
+    const Folder folder;
+    const TimePoint now { 1h };
+    DirectoryStore store(folder.path_ / "directory");
+    const auto waitFor = [](const auto& holds) {
+        for (int i = 0; i < 500 && !holds(); ++i)
+            std::this_thread::sleep_for(10ms);
+        return holds();
+    };
+    {
+        const fake::FileSizeLimit limit(0);
+        store.save({}, std::make_shared<const PackedCatalog>(packCatalog({ 8, "{\"Version\":8}" })), 13, now);
+        // The attempt that fails leaves its temporary file.
+        REQUIRE(waitFor([&] { return std::filesystem::exists(folder.path_ / "directory.new"); }));
+        std::this_thread::sleep_for(50ms);
+    }
+    REQUIRE(waitFor([&] { return store.load(now).catalog_.has_value(); }));
+    CHECK(store.load(now).catalog_->version_ == 8);
+}
