Let a leader that leaves campaign until its removal is committed

A leader that is asked to stop removes itself from the voters. In the trace (four voters) the members were split at that moment, so the removal reached one of the three others, which was then replaced: the loss that is tolerated. The leader was back after 0.1 s with the newest log. It voted for none of the other two, because their logs were older, and did not campaign, because its own configuration did not contain it. Two of four voters lead nothing.

A member now campaigns also if it was a voter before the latest configuration and that one is not known to be committed. As the leader it commits the removal and then steps down. A member that was removed long ago cannot disturb a cluster that way: members that hear their leader answer no pre-vote.

Ruled out: admission (all members knew each other) and storage (no writes failed). Before the departure of members existed, only an operator could cause it, by removing a leader during a split.

--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -67,6 +67,19 @@
             [&](const ControlMember& member) { return member.identity_ == identity; });
     }
 
+    // Returns the configuration before the latest one, or null if there is none or it was compacted.
+    const ControlConfiguration* previousConfigurationOf(const ControlLogState& state)
+    {
+        const auto& stored = state.stored_;
+        for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
+            const auto* configuration = std::get_if<ControlConfiguration>(&entry->body_);
+            if (configuration && entry->position_.index_ < state.configurationIndex_)
+                return configuration;
+        }
+        const bool isOlder = stored.snapshot_ && stored.snapshot_->last_.index_ < state.configurationIndex_;
+        return isOlder ? &stored.snapshot_->configuration_ : nullptr;
+    }
+
     // Returns whether the predicate holds for a majority of the voters.
     bool hasMajority(
         const ControlConfiguration& configuration, const std::function<bool(const std::string& identity)>& holds)
@@ -719,6 +732,20 @@
             broadcast(step);
     }
 
+    // Returns whether the member may become the leader. A leader that removes itself may have to finish this in a later
+    // term: until the removal is committed, its log may be the newest one, and it votes for no other member then.
+    bool mayCampaign(const ControlLogState& state)
+    {
+        if (!state.configuration_)
+            return false;
+        if (isVoter(*state.configuration_, state.identity_))
+            return true;
+        if (state.configurationIndex_ <= state.commit_)
+            return false;
+        const auto* previous = previousConfigurationOf(state);
+        return previous && isVoter(*previous, state.identity_);
+    }
+
     void handleForwardedAsLeader(Step&);
 
     void handle(Step& step, const ControlTick&)
@@ -738,8 +765,7 @@
             handleForwardedAsLeader(step);
         if (isLeader(state))
             leaderTick(step);
-        else if (state.configuration_ && isVoter(*state.configuration_, state.identity_)
-            && step.now_ >= state.electionDeadline_)
+        else if (mayCampaign(state) && step.now_ >= state.electionDeadline_)
             campaign(step, ControlRole::PreCandidate);
     }
 
--- a/tests/ControlLossTest.cpp
+++ b/tests/ControlLossTest.cpp
@@ -364,6 +364,30 @@
 
 } // namespace
 
+// Guards against members that refuse their votes to all others and do not campaign themselves.
+TEST_CASE("a leader whose departure was interrupted takes part in elections")
+{
+    ControlCluster cluster({ .seed_ = 1, .size_ = 4, .log_ = hostOptions(1, false) });
+    cluster.runFor(2s);
+    cluster.startClient();
+    cluster.runFor(1s);
+    const auto leader = cluster.leader();
+    REQUIRE_FALSE(leader.empty());
+    const auto names = cluster.names();
+    const auto follower = names.front() == leader ? names.back() : names.front();
+    // The removal of the leader reaches only one of the three other members, which is then gone for good.
+    cluster.split({ leader, follower }, 2s);
+    cluster.runFor(100ms);
+    cluster.terminate(leader, 300ms);
+    cluster.runFor(500ms);
+    cluster.removeForever(follower);
+    cluster.runFor(2s);
+    const auto before = cluster.acknowledgements();
+    CHECK(cluster.readBack(serviceTime).value_or(0) >= cluster.acknowledgedVersion());
+    CHECK(cluster.runUntil([&] { return cluster.acknowledgements() > before; }, serviceTime));
+    CHECK(cluster.violations().empty());
+}
+
 // Guards against a majority that is lost by tolerated losses: of a disk, power, links, space and members.
 TEST_CASE("an acknowledged change is read back after a lost disk")
 {
