Keep the control members that a majority confirmed

Looked for elsewhere: a member that cannot find the leader because it knows only instances that are gone. Entry instances have the same list. They took it from any response, also from a member without a majority, such as one that was removed and still runs: its list replaced the current one, and if the members on it and the seeds were gone, the instance kept its catalog for good.

The list of a member without a majority is now used beside the confirmed one. The choice of the member to ask moves out of GatewayTask into a module of its own, MemberSelection, otherwise unchanged.

--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -23,10 +23,6 @@
     // is not, endpoints are asked whether the instance is cut off.
     constexpr auto contactDoubt = 450ms;
     constexpr auto readinessInterval = 50ms;
-    // Without answers to this many questions in a row, another member is asked.
-    constexpr std::uint64_t unansweredLimit = 2;
-    // A new instance asks another member each time: after a loss of power most of them may not have started yet.
-    constexpr std::uint64_t firstUnansweredLimit = 1;
     // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
     constexpr std::size_t reservedFiles = 400;
     // The time before the forced end that is left for the process to end by itself.
@@ -52,6 +48,9 @@
                                                       : settings_.maximumFiles_ / 2,
           [this](const LineChannelPtr& channel) { gateway_.accept(channel); })
 {
+    // Instances begin at different members, so that each member feeds its share.
+    selection_.next_ = std::hash<std::string>()(settings_.peers_);
+    setSeeds();
     loop_.setWakeHandler([this] { receiveAll(); });
     gateway_.setSuspicionHandler([this] { reportSoon(); });
 }
@@ -120,6 +119,7 @@
 void GatewayTask::receive(const Reload& reload)
 {
     settings_.seeds_ = reload.settings_.seeds_;
+    setSeeds();
     LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
 }
 
@@ -140,27 +140,18 @@
 
 void GatewayTask::receiveFeed(const InstanceId& sender, const FeedResponse& answer)
 {
-    // A new instance has asked several members; the first one that has a majority is asked from now on.
-    if (answer.confirmed_ && !hasBeenConfirmed_ && sender != member_) {
-        member_ = sender;
-        unanswered_ = 0;
-    }
-    if (sender == member_ && answer.number_ > 0) {
-        unanswered_ = 0;
+    const bool wasConfirmed = selection_.isConfirmed_;
+    if (recordFeedResponse(selection_, sender, answer.members_, answer.confirmed_, answer.number_ > 0)) {
         // An older question was asked before this time, so its samples would be dated too late.
         if (answer.number_ == number_) {
             for (const auto& sample : answer.samples_)
                 gateway_.addSample(sample.group_, { askedAt_ - sample.age_, sample.position_ });
         }
-        if (answer.confirmed_) {
-            if (!std::exchange(hasBeenConfirmed_, true))
-                LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
-            // The member may have lost its majority since; it says so only after a while.
+        if (selection_.isConfirmed_ && !wasConfirmed)
+            LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
+        // The member may have lost its majority since; it says so only after a while.
+        if (answer.confirmed_)
             confirmed_ = std::max(confirmed_, askedAt_ - answer.contactAge_);
-        } else {
-            // Cut off from the majority: what it says may be old.
-            chooseMember();
-        }
     }
     if (answer.catalog_ && answer.catalog_->version_ > gateway_.catalogVersion()) {
         boost::leaf::try_handle_all(
@@ -175,8 +166,6 @@
     }
     if (answer.instances_ > 0)
         gateway_.setShare(answer.instances_, answer.rank_);
-    if (!answer.members_.empty())
-        members_ = answer.members_;
     if (answer.records_) {
         gateway_.setEndpoints(*answer.records_);
         registryMark_ = answer.registryVersion_;
@@ -197,7 +186,7 @@
     const auto sinceConfirmed = std::chrono::duration<double>(suspendAwareNow() - confirmed_).count();
     metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
     metrics_.setGauge("applied_catalog_version", static_cast<double>(gateway_.catalogVersion()));
-    metrics_.setGauge("control_confirmed_age_seconds", hasBeenConfirmed_ ? sinceConfirmed : -1);
+    metrics_.setGauge("control_confirmed_age_seconds", selection_.isConfirmed_ ? sinceConfirmed : -1);
     metrics_.setGauge("client_sessions", static_cast<double>(gateway_.sessions()));
     metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
     connection->reply({ 200, metrics_.render(), "text/plain" });
@@ -228,51 +217,41 @@
         readiness_ = readiness;
         readinessSince_ = now;
     }
-    if (hasBeenConfirmed_ && now - confirmed_ > contactDoubt)
+    if (selection_.isConfirmed_ && now - confirmed_ > contactDoubt)
         gateway_.probeEndpoints();
     const bool isolated = readiness == Readiness::Isolated;
     gateway_.setIsolated(isolated, isolated && now - readinessSince_ > rotationTime);
     loop_.schedule(Clock::now() + readinessInterval, [this] { updateReadiness(); });
 }
 
-void GatewayTask::chooseMember()
+void GatewayTask::setSeeds()
 {
-    std::vector<InstanceId> all = members_;
-    for (const auto& seed : settings_.seeds_) {
-        const InstanceId instance(peerAddressOf(settings_, seed));
-        if (std::find(all.begin(), all.end(), instance) == all.end())
-            all.push_back(instance);
-    }
-    if (all.empty())
-        return;
-    // Instances begin at different members, so that each member feeds its share.
-    if (member_.empty())
-        next_ = std::hash<std::string>()(settings_.peers_);
-    member_ = all[next_++ % all.size()];
-    unanswered_ = 0;
+    selection_.seeds_.clear();
+    for (const auto& seed : settings_.seeds_)
+        selection_.seeds_.emplace_back(peerAddressOf(settings_, seed));
 }
 
 void GatewayTask::askNow()
 {
-    if (member_.empty() || unanswered_ >= (hasBeenConfirmed_ ? unansweredLimit : firstUnansweredLimit)) {
-        if (!member_.empty()) {
-            LogLine(LogKind::Dependency, "control_member_silent").with("member", member_.value_);
-            peers_.reconnect(member_.value_);
+    if (needsSelection(selection_)) {
+        if (!selection_.selected_.empty()) {
+            LogLine(LogKind::Dependency, "control_member_silent").with("member", selection_.selected_.value_);
+            peers_.reconnect(selection_.selected_.value_);
         }
-        chooseMember();
+        selectNextMember(selection_);
     }
-    if (member_.empty())
+    if (selection_.selected_.empty())
         return;
     FeedRequest request;
     request.number_ = ++number_;
     request.catalogVersion_ = gateway_.catalogVersion();
     request.registryVersion_ = registryMark_;
     request.takesRequests_ = !shuttingDown_;
-    request.missesResponses_ = unanswered_ > 0;
+    request.missesResponses_ = selection_.unanswered_ > 0;
     request.reports_ = gateway_.reports();
     askedAt_ = suspendAwareNow();
-    ++unanswered_;
-    peers_.send(member_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
+    recordFeedRequest(selection_);
+    peers_.send(selection_.selected_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
 }
 
 // Tells the leader that an endpoint has begun to fail, before the next regular question.
@@ -290,7 +269,7 @@
 {
     askNow();
     // What a member without a majority says may be old, so a new instance goes on asking after it has begun to serve.
-    loop_.schedule(Clock::now() + (hasBeenConfirmed_ ? askInterval : firstAskInterval), [this] { ask(); });
+    loop_.schedule(Clock::now() + (selection_.isConfirmed_ ? askInterval : firstAskInterval), [this] { ask(); });
 }
 
 } // namespace cassiahollow
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -2,6 +2,7 @@
 
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Mailbox.h"
+#include "cassiahollow/process/MemberSelection.h"
 #include "cassiahollow/process/Metrics.h"
 #include "cassiahollow/process/Readiness.h"
 #include "connection/HttpListener.h"
@@ -49,7 +50,7 @@
     void ask();
     void askNow();
     void reportSoon();
-    void chooseMember();
+    void setSeeds();
     void replyMetrics(const HttpConnectionPtr&);
     Readiness readiness() const;
     void updateReadiness();
@@ -65,16 +66,12 @@
     std::unique_ptr<HttpListener> readinessListener_;
     std::unique_ptr<HttpListener> metricsListener_;
 
-    std::vector<InstanceId> members_; ///< Control members, as last told.
-    InstanceId member_; ///< The one that is asked.
-    std::size_t next_ { 0 }; ///< The place of the next one to ask.
+    MemberSelection selection_;
     std::uint64_t number_ { 0 };
-    std::uint64_t unanswered_ { 0 }; ///< Questions to member_ without an answer.
     TimePoint confirmed_; ///< When the last confirmed answer was asked for.
     TimePoint askedAt_;
     bool reportDue_ { false }; ///< A question with fresh reports is scheduled.
     std::string registryMark_;
-    bool hasBeenConfirmed_ { false };
     bool shuttingDown_ { false };
     Readiness readiness_ { Readiness::Starting };
     TimePoint readinessSince_;
--- a/include/cassiahollow/cassiahollow.h
+++ b/include/cassiahollow/cassiahollow.h
@@ -12,6 +12,7 @@
 #include "cassiahollow/process/EndpointRegistry.h"
 #include "cassiahollow/process/HolderMap.h"
 #include "cassiahollow/process/Mailbox.h"
+#include "cassiahollow/process/MemberSelection.h"
 #include "cassiahollow/process/Membership.h"
 #include "cassiahollow/process/MembershipCodec.h"
 #include "cassiahollow/process/Metrics.h"
