Report no impairment of members beyond the maximum of voters

The eighth member of a healthy cluster is a learner, and logged control_impaired with the cause no_vote for as long as it ran.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -432,9 +432,7 @@
     metrics_.setGauge("control_leads", status_.role_ == ControlRole::Leader ? 1 : 0);
     metrics_.setGauge("control_leader_known", status_.leader_.empty() ? 0 : 1);
     metrics_.setGauge("control_votes", status_.isVoter_ ? 1 : 0);
-    metrics_.setGauge("control_voters",
-        static_cast<double>(std::count_if(status_.members_.begin(), status_.members_.end(),
-            [](const ControlMember& member) { return member.voter_; })));
+    metrics_.setGauge("control_voters", static_cast<double>(voterCount(status_.members_)));
     metrics_.setGauge("control_members_heard", static_cast<double>(heardMembers().size()));
     metrics_.setGauge("entry_instances", static_cast<double>(entryInstances().size()));
     metrics_.setGauge("known_endpoints", static_cast<double>(registry_.records_.size()));
@@ -536,7 +534,8 @@
         return "no_storage";
     if (status_.leader_.empty())
         return "no_leader";
-    return status_.isVoter_ ? "" : "no_vote";
+    const bool isSpare = voterCount(status_.members_) >= maximumControlVoters;
+    return status_.isVoter_ || isSpare ? "" : "no_vote";
 }
 
 std::vector<InstanceId> ControlHost::heardMembers() const
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -358,6 +358,9 @@
 /// Returns whether the identity is a voter of the configuration.
 bool isVoter(const ControlConfiguration&, const std::string& identity);
 
+/// Returns the number of members with a vote.
+std::size_t voterCount(const std::vector<ControlMember>&);
+
 } // namespace cassiahollow
 
 #include "cassiahollow/version/ControlLog-inl.h"
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -588,12 +588,6 @@
         return isOwnTermCommitted(state) && state.configurationIndex_ <= state.commit_;
     }
 
-    std::size_t voterCount(const ControlConfiguration& configuration)
-    {
-        return static_cast<std::size_t>(std::count_if(configuration.members_.begin(), configuration.members_.end(),
-            [](const ControlMember& member) { return member.voter_; }));
-    }
-
     // Promotes a learner that has caught up to a voter. The member that it replaces is removed first in a separate
     // change, because consecutive configurations may differ by only one voter.
     bool promoteLearner(Step& step)
@@ -610,11 +604,11 @@
                 if (isReachable(step, old->identity_))
                     continue;
                 next.members_.erase(old);
-                if (voterCount(next) == 0
+                if (voterCount(next.members_) == 0
                     || !hasMajority(next, [&](const std::string& identity) { return isReachable(step, identity); }))
                     continue;
             } else {
-                if (voterCount(next) >= maximumControlVoters)
+                if (voterCount(next.members_) >= maximumControlVoters)
                     continue;
                 std::find(next.members_.begin(), next.members_.end(), learner)->voter_ = true;
             }
@@ -631,7 +625,7 @@
         std::size_t responding = 0;
         for (const auto& member : configuration.members_)
             responding += member.voter_ && respondedWithin(step, member.identity_, silence) ? 1 : 0;
-        return responding > voterCount(configuration) / 2 + losses;
+        return responding > voterCount(configuration.members_) / 2 + losses;
     }
 
     // Returns the number of voters below which none is removed because it is silent or departs.
@@ -653,7 +647,7 @@
         std::stable_sort(spare.begin(), spare.end(), [&](const std::string& one, const std::string& other) {
             return state.progress_.at(one).lastReceivedAt_ < state.progress_.at(other).lastReceivedAt_;
         });
-        const auto voters = voterCount(*state.configuration_);
+        const auto voters = voterCount(state.configuration_->members_);
         spare.resize(std::min(spare.size(), voters - std::min(voters, requiredVoters(state))));
         return spare;
     }
@@ -796,11 +790,11 @@
             next.members_.push_back({ change.instance_, hello->second.identity_, false });
         } else {
             std::erase_if(next.members_, isTarget);
-            const bool isBearable = voterCount(next) >= requiredVoters(state)
+            const bool isBearable = voterCount(next.members_) >= requiredVoters(state)
                 && toleratesLosses(step, next, state.options_.electionTimeout_, state.options_.toleratedLosses_);
             if (change.isDeparture_ && !isBearable)
                 return refuse(Reason::NoControlMajority, "too few voting control members would remain");
-            if (voterCount(next) == 0)
+            if (voterCount(next.members_) == 0)
                 return refuse(Reason::SettingsInvalid, "the last voting control member cannot be removed");
             // Without a reachable majority, neither this change nor any later one could be committed.
             if (!hasMajority(next, [&](const std::string& identity) { return isReachable(step, identity); }))
@@ -1169,6 +1163,12 @@
         stored.promise_ = *action.promise_;
 }
 
+std::size_t voterCount(const std::vector<ControlMember>& members)
+{
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [](const ControlMember& member) { return member.voter_; }));
+}
+
 const ControlConfiguration* configurationOf(const ControlStored& stored)
 {
     for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
