Remove learners that are gone

Voters that are silent are removed, learners were not, and with successors at new addresses each planned replacement left one behind. The leader sends to all of them for good, and hellos name them: 28 names later, the list of contacts has no room for members that run, which is what a member needs that cannot find the leader.

A learner that sent no response for as long as a silent voter is now removed; one that runs announces itself again. For that, the clock of silence starts when the leader begins to send. The new test fails before: the learner that is gone is still there after 10 s.

--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -256,7 +256,8 @@
     /// The number of voters that may be lost at once. With admitsUnlisted_, unreachable voters are removed as long as
     /// twice this number plus one remain.
     std::size_t toleratedLosses_ { 1 };
-    /// With admitsUnlisted_: a voter that sent no response for this long is removed while enough others remain.
+    /// With admitsUnlisted_: a voter that sent no response for this long is removed while enough others remain, and a
+    /// learner in any case.
     /// Longer than a restart, so that a restarted member stays in the configuration.
     Duration removeUnreachableAfter_ { std::chrono::seconds(8) };
     /// As removeUnreachableAfter_, while the reachable voters would be no majority after toleratedLosses_ more, or
@@ -279,7 +280,7 @@
     std::uint64_t next_ { 1 }; ///< The index of the next entry to send.
     std::uint64_t match_ { 0 }; ///< The highest index up to which the logs are confirmed to be equal.
     std::uint64_t round_ { 0 }; ///< The highest round that the member acknowledged.
-    TimePoint lastReceivedAt_;
+    TimePoint lastReceivedAt_; ///< Of its last response; before the first one, when the leader began to send to it.
     TimePoint snapshotSentAt_; ///< When the last snapshot was sent; the epoch if none is in transfer.
 };
 
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -160,8 +160,8 @@
         std::erase_if(state.progress_, [&](const auto& item) { return !isMember(*state.configuration_, item.first); });
         for (const auto& member : state.configuration_->members_) {
             if (member.identity_ != state.identity_)
-                state.progress_.try_emplace(
-                    member.identity_, MemberProgress { .next_ = lastPosition(state.stored_).index_ + 1 });
+                state.progress_.try_emplace(member.identity_,
+                    MemberProgress { .next_ = lastPosition(state.stored_).index_ + 1, .lastReceivedAt_ = step.now_ });
         }
     }
 
@@ -713,6 +713,22 @@
         return false;
     }
 
+    // Removes a learner that has been unreachable for long. Otherwise, instances that are gone would stay in the
+    // configuration for good: the leader sends to all of them, and hellos and feeds name them.
+    bool removeUnreachableLearner(Step& step)
+    {
+        const auto& state = step.state_;
+        if (!state.options_.admitsUnlisted_)
+            return false;
+        for (const auto& member : state.configuration_->members_) {
+            if (member.voter_ || respondedWithin(step, member.identity_, state.options_.removeUnreachableAfter_))
+                continue;
+            propose(step, withoutMembers(*state.configuration_, { member.identity_ }), std::nullopt);
+            return true;
+        }
+        return false;
+    }
+
     // Admits as a learner the new identity of a member that lost its disk and, with admitsUnlisted_, an unlisted one.
     void admitNewIdentity(Step& step)
     {
@@ -748,7 +764,8 @@
             becomeFollower(step, state.stored_.promise_.term_);
             return;
         }
-        if (mayChangeConfiguration(state) && !promoteLearner(step) && !removeUnreachableVoter(step))
+        if (mayChangeConfiguration(state) && !promoteLearner(step) && !removeUnreachableVoter(step)
+            && !removeUnreachableLearner(step))
             admitNewIdentity(step);
         if (isLeader(state) && step.now_ - state.lastBroadcastAt_ >= state.options_.heartbeatInterval_)
             broadcast(step);
--- a/tests/ControlCatalogTest.cpp
+++ b/tests/ControlCatalogTest.cpp
@@ -243,6 +243,34 @@
     CHECK(members.voters().contains("e"));
 }
 
+// Guards against a configuration that fills with members that are gone: the leader sends to them, and hellos name them.
+TEST_CASE("a learner that is gone is removed, and one that is there stays")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.run(5s);
+    for (const auto* name : { "d", "e", "f", "g", "h", "i" })
+        members.start(name, false);
+    members.run(5s);
+    REQUIRE(members.voters().size() == maximumControlVoters);
+    std::set<std::string> learners;
+    for (const auto* name : { "d", "e", "f", "g", "h", "i" }) {
+        if (!members.voters().contains(name))
+            learners.insert(name);
+    }
+    REQUIRE(learners.size() == 2);
+    const auto gone = *learners.begin();
+    members.logs_.erase(InstanceId(gone));
+    members.run(members.options_.removeUnreachableAfter_ + 2s);
+    std::set<std::string> left;
+    for (const auto& member : members.logs_.at(InstanceId("a")).configuration_->members_) {
+        if (!member.voter_)
+            left.insert(member.instance_.value_);
+    }
+    CHECK(left == std::set<std::string> { *learners.rbegin() });
+}
+
 // Guards against a machine that is gone for good counting for the majority for ever: the next loss would stop control.
 TEST_CASE("a machine that is replaced by another loses its vote, and the next loss is borne")
 {
