--- a/daemon/process/DirectoryStore.h
+++ b/daemon/process/DirectoryStore.h
@@ -34,7 +34,8 @@
 
     /// The last copy; its records count as heard at `now`. Empty when there is none that can be read.
     DirectoryCopy load(TimePoint now) const;
-    /// Replaces the copy soon. Does not wait for the disk. `catalog` may be null.
+    /// Replaces the copy soon, and repeats this until it succeeds or a newer copy comes. Does not wait for the disk.
+    /// `catalog` may be null.
     void save(
         const EndpointRegistry&, std::shared_ptr<const PackedCatalog> catalog, std::size_t instances, TimePoint now);
 
