--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -142,7 +142,7 @@
 {
     ControlTaskOptions options;
     options.instance_ = self_;
-    options.listed_ = seedInstances();
+    options.listed_ = seedInstances(settings_);
     options.folder_ = std::filesystem::path(settings_.dataFolder_) / "control";
     options.log_.mayFound_ = settings_.mayFound_;
     options.log_.admitsUnlisted_ = true;
@@ -222,7 +222,7 @@
 {
     settings_.seeds_ = reload.settings_.seeds_;
     if (control_)
-        control_->post(ControlSeeds { seedInstances() });
+        control_->post(ControlSeeds { seedInstances(settings_) });
     LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
 }
 
@@ -575,17 +575,9 @@
     return control_ && Clock::now() - control_->lastContact() < contactTime;
 }
 
-std::vector<InstanceId> ControlHost::seedInstances() const
-{
-    std::vector<InstanceId> seeds;
-    for (const auto& seed : settings_.seeds_)
-        seeds.emplace_back(peerAddressOf(settings_, seed));
-    return seeds;
-}
-
 std::vector<InstanceId> ControlHost::otherMembers() const
 {
-    const auto seeds = seedInstances();
+    const auto seeds = seedInstances(settings_);
     std::set<InstanceId> members(seeds.begin(), seeds.end());
     for (const auto& member : status_.members_)
         members.insert(member.instance_);
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -120,7 +120,6 @@
     /// Other members that sent a message lately.
     std::vector<InstanceId> heardMembers() const;
     bool inContact() const;
-    std::vector<InstanceId> seedInstances() const;
     std::vector<InstanceId> otherMembers() const;
     std::vector<InstanceId> entryInstances() const;
     std::size_t expectedInstances(std::size_t asked) const;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -50,7 +50,7 @@
 {
     // Instances begin at different members, so that each member feeds its share.
     selection_.next_ = std::hash<std::string>()(settings_.peers_);
-    setSeeds();
+    selection_.seeds_ = seedInstances(settings_);
     loop_.setWakeHandler([this] { receiveAll(); });
     gateway_.setSuspicionHandler([this] { reportSoon(); });
 }
@@ -119,7 +119,7 @@
 void GatewayTask::receive(const Reload& reload)
 {
     settings_.seeds_ = reload.settings_.seeds_;
-    setSeeds();
+    selection_.seeds_ = seedInstances(settings_);
     LogLine(LogKind::Lifecycle, "reloaded").with("seeds", static_cast<std::uint64_t>(settings_.seeds_.size()));
 }
 
@@ -224,13 +224,6 @@
     loop_.schedule(Clock::now() + readinessInterval, [this] { updateReadiness(); });
 }
 
-void GatewayTask::setSeeds()
-{
-    selection_.seeds_.clear();
-    for (const auto& seed : settings_.seeds_)
-        selection_.seeds_.emplace_back(peerAddressOf(settings_, seed));
-}
-
 void GatewayTask::askNow()
 {
     if (needsSelection(selection_)) {
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -50,7 +50,6 @@
     void ask();
     void askNow();
     void reportSoon();
-    void setSeeds();
     void replyMetrics(const HttpConnectionPtr&);
     Readiness readiness() const;
     void updateReadiness();
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -81,4 +81,12 @@
     return seed.substr(0, seed.rfind(':')) + settings.peers_.substr(settings.peers_.rfind(':'));
 }
 
+std::vector<InstanceId> seedInstances(const NodeSettings& settings)
+{
+    std::vector<InstanceId> instances;
+    for (const auto& seed : settings.seeds_)
+        instances.emplace_back(peerAddressOf(settings, seed));
+    return instances;
+}
+
 } // namespace cassiahollow
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -40,4 +40,7 @@
 /// The peer address of a seed: its host with this process's peer port, which is the same on all machines.
 std::string peerAddressOf(const NodeSettings&, const std::string& seed);
 
+/// The seeds as instances, which are named by their peer addresses.
+std::vector<InstanceId> seedInstances(const NodeSettings&);
+
 } // namespace cassiahollow
