--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -67,17 +67,15 @@
             [&](const ControlMember& member) { return member.identity_ == identity; });
     }
 
-    // Returns the configuration before the latest one, or null if there is none or it was compacted.
-    const ControlConfiguration* previousConfigurationOf(const ControlLogState& state)
+    // Returns the latest configuration at an index below `end`, or null if there is none or it was compacted.
+    const ControlConfiguration* configurationBefore(const ControlStored& stored, std::uint64_t end)
     {
-        const auto& stored = state.stored_;
         for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
             const auto* configuration = std::get_if<ControlConfiguration>(&entry->body_);
-            if (configuration && entry->position_.index_ < state.configurationIndex_)
+            if (configuration && entry->position_.index_ < end)
                 return configuration;
         }
-        const bool isOlder = stored.snapshot_ && stored.snapshot_->last_.index_ < state.configurationIndex_;
-        return isOlder ? &stored.snapshot_->configuration_ : nullptr;
+        return stored.snapshot_ && stored.snapshot_->last_.index_ < end ? &stored.snapshot_->configuration_ : nullptr;
     }
 
     // Returns whether the predicate holds for a majority of the voters.
@@ -781,7 +779,7 @@
             return true;
         if (state.configurationIndex_ <= state.commit_)
             return false;
-        const auto* previous = previousConfigurationOf(state);
+        const auto* previous = configurationBefore(state.stored_, state.configurationIndex_);
         return previous && isVoter(*previous, state.identity_);
     }
 
@@ -1216,11 +1214,7 @@
 
 const ControlConfiguration* configurationOf(const ControlStored& stored)
 {
-    for (auto entry = stored.entries_.rbegin(); entry != stored.entries_.rend(); ++entry) {
-        if (const auto* configuration = std::get_if<ControlConfiguration>(&entry->body_))
-            return configuration;
-    }
-    return stored.snapshot_ ? &stored.snapshot_->configuration_ : nullptr;
+    return configurationBefore(stored, lastPosition(stored).index_ + 1);
 }
 
 ControlLogState startControlLog(InstanceId instance, std::string identity, std::vector<InstanceId> listed,
