--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -83,14 +83,23 @@
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
     , store_(std::filesystem::path(settings_.dataFolder_) / "directory")
+    , leases_(settings_.authorityChecksFences_
+              ? nullptr
+              : std::make_unique<PrimaryLeases>(
+                  self_, metrics_,
+                  [this](const InstanceId& recipient, const DirectoryMessage& message) {
+                      sendDirectory(recipient, message);
+                  },
+                  [this] { loop_.schedule(Clock::now(), [this] { pushLeases(); }); },
+                  [this] { loop_.schedule(Clock::now(), [this] { duty_.tick(); }); }))
     , duty_(loop_, { settings_.name_, self_, settings_.authority_, { .heartbeatInterval_ = settings_.heartbeat_ } },
-          registry_,
+          registry_, leases_.get(),
           [this](const GrantChange& grant) {
               const auto key
                   = "grant-" + std::to_string(incarnation_) + "-" + self_.value_ + "-" + std::to_string(nextToken_);
               submit(ControlChange { key, grant }, { .grant_ = grant.group_ });
           })
-    , sampler_(loop_, registry_, settings_.name_)
+    , sampler_(loop_, registry_, settings_.name_, leases_ ? &leases_->view() : nullptr)
 {
     loop_.setWakeHandler([this] { receiveAll(); });
 }
@@ -337,6 +346,8 @@
         if (member.instance_ != self_)
             members_.try_emplace(member.instance_);
     }
+    if (leases_)
+        leases_->setStatus(status);
     duty_.setLeading(status.role_ == ControlRole::Leader);
 }
 
@@ -346,6 +357,8 @@
     LogLine(LogKind::Dependency, "storage_lost").with("detail", failureMessage(message.failure_));
     duty_.setLeading(false);
     status_ = {};
+    if (leases_)
+        leases_->setStatus({});
     control_->stop();
     control_.reset();
     loop_.schedule(Clock::now() + storageRetry, [this] { startControl(); });
@@ -362,6 +375,8 @@
         peers_.reconnect(sender.value_);
     auto answer = feedFor(sender, instance);
     answer.number_ = request.number_;
+    if (leases_)
+        answer.leases_ = leases_->grantTo(sender, request.leaseVersion_);
     sendDirectory(sender, answer);
     if (request.reports_.empty())
         return;
@@ -405,6 +420,43 @@
         duty_.reported(relay.instance_, relay.reports_);
 }
 
+void ControlHost::receiveDirectory(const InstanceId& sender, const LeaseRequest& request)
+{
+    if (!leases_)
+        return;
+    updateProven();
+    leases_->receive(sender, request);
+}
+
+void ControlHost::receiveDirectory(const InstanceId& sender, const LeaseResponse& response)
+{
+    if (leases_)
+        leases_->receive(sender, response);
+}
+
+void ControlHost::updateProven()
+{
+    leases_->setProven(control_ ? control_->majorityProvenAt() : TimePoint());
+}
+
+// Sends a changed table at once: the end of a lease may delay a promotion.
+void ControlHost::pushLeases()
+{
+    FeedResponse push;
+    push.confirmed_ = inContact();
+    push.catalogVersion_ = document_ ? document_->version_ : 0;
+    push.registryVersion_ = registryMark();
+    push.leader_ = status_.leader_;
+    for (const auto& member : status_.members_)
+        push.members_.push_back(member.instance_);
+    push.leases_ = leases_->pushed();
+    const auto now = Clock::now();
+    for (const auto& [id, instance] : instances_) {
+        if (now - instance.asked_ < instanceLifetime)
+            sendDirectory(id, push);
+    }
+}
+
 void ControlHost::handleCall(const HttpConnectionPtr& connection, const HttpRequest& request)
 {
     if (request.path_ == platform::configurationPath) {
@@ -708,6 +760,10 @@
     }
     reportImpairment(now);
     pushDueFeeds();
+    if (leases_) {
+        updateProven();
+        leases_->renew();
+    }
     duty_.tick();
     if (catalog_)
         sampler_.tick(*catalog_, expectedInstances(entryInstances().size()));
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -10,6 +10,7 @@
 #include "process/PeerTask.h"
 #include "version/ControlTask.h"
 #include "version/DutyRunner.h"
+#include "version/PrimaryLeases.h"
 #include "version/PrimarySampler.h"
 
 #include <map>
@@ -102,6 +103,8 @@
     void receiveDirectory(const InstanceId& sender, const FeedResponse&);
     void receiveDirectory(const InstanceId& sender, const RegistryUpdate&);
     void receiveDirectory(const InstanceId& sender, const ReportRelay&);
+    void receiveDirectory(const InstanceId& sender, const LeaseRequest&);
+    void receiveDirectory(const InstanceId& sender, const LeaseResponse&);
 
     void handleCall(const HttpConnectionPtr&, const HttpRequest&);
     void replyMetrics(const HttpConnectionPtr&);
@@ -128,6 +131,8 @@
     void registryChanged();
     void pushFeeds();
     void pushDueFeeds();
+    void pushLeases();
+    void updateProven();
     FeedResponse feedFor(const InstanceId&, EntryInstance&) const;
     std::string registryMark() const;
 
@@ -142,6 +147,7 @@
     DirectoryStore store_;
     std::unique_ptr<HttpListener> operators_;
     std::unique_ptr<HttpListener> metricsListener_;
+    std::unique_ptr<PrimaryLeases> leases_; ///< Null if the authority checks fences.
     DutyRunner duty_;
     PrimarySampler sampler_;
     std::shared_ptr<const RouteCatalog> catalog_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -23,6 +23,8 @@
     // is not, endpoints are asked whether the instance is cut off.
     constexpr auto contactDoubt = 450ms;
     constexpr auto readinessInterval = 50ms;
+    // Responses to requests before these are too old to renew anything.
+    constexpr std::size_t maximumOpenRequests = 16;
     // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
     constexpr std::size_t reservedFiles = 400;
     // The time before the forced end that is left for the process to end by itself.
@@ -42,7 +44,7 @@
           { InstanceId(settings_.peers_), incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
-    , gateway_(loop_, metrics_, { settings_.name_, settings_.dataCentre_ })
+    , gateway_(loop_, metrics_, { settings_.name_, settings_.dataCentre_, !settings_.authorityChecksFences_ })
     , clients_(loop_, settings_.statements_,
           settings_.maximumFiles_ > 2 * reservedFiles ? settings_.maximumFiles_ - reservedFiles
                                                       : settings_.maximumFiles_ / 2,
@@ -52,7 +54,7 @@
     selection_.next_ = std::hash<std::string>()(settings_.peers_);
     selection_.seeds_ = seedInstances(settings_);
     loop_.setWakeHandler([this] { receiveAll(); });
-    gateway_.setSuspicionHandler([this] { reportSoon(); });
+    gateway_.setReportHandler([this] { reportSoon(); });
 }
 
 boost::leaf::result<void> GatewayTask::start()
@@ -141,17 +143,21 @@
 void GatewayTask::receiveFeed(const InstanceId& sender, const FeedResponse& answer)
 {
     const bool wasConfirmed = selection_.isConfirmed_;
+    // What a response says is dated by the time of its request.
+    const auto asked = askedAt_.find(answer.number_);
+    const auto requestedAt = asked == askedAt_.end() ? std::nullopt : std::optional(asked->second);
+    if (answer.leases_)
+        gateway_.receiveLeases(*answer.leases_, requestedAt);
     if (recordFeedResponse(selection_, sender, answer.members_, answer.confirmed_, answer.number_ > 0)) {
-        // An older question was asked before this time, so its samples would be dated too late.
-        if (answer.number_ == number_) {
+        if (requestedAt) {
             for (const auto& sample : answer.samples_)
-                gateway_.addSample(sample.group_, { askedAt_ - sample.age_, sample.position_ });
+                gateway_.addSample(sample.group_, { *requestedAt - sample.age_, sample.position_ });
         }
         if (selection_.isConfirmed_ && !wasConfirmed)
             LogLine(LogKind::Dependency, "control_reached").with("member", sender.value_);
         // The member may have lost its majority since; it says so only after a while.
-        if (answer.confirmed_)
-            confirmed_ = std::max(confirmed_, askedAt_ - answer.contactAge_);
+        if (answer.confirmed_ && requestedAt)
+            confirmed_ = std::max(confirmed_, *requestedAt - answer.contactAge_);
     }
     if (answer.catalog_ && answer.catalog_->version_ > gateway_.catalogVersion()) {
         boost::leaf::try_handle_all(
@@ -242,9 +248,13 @@
     request.takesRequests_ = !shuttingDown_;
     request.missesResponses_ = selection_.unanswered_ > 0;
     request.reports_ = gateway_.reports();
-    askedAt_ = suspendAwareNow();
+    request.leaseVersion_ = gateway_.leaseVersion();
+    const auto now = suspendAwareNow();
+    askedAt_.emplace(number_, now);
+    if (askedAt_.size() > maximumOpenRequests)
+        askedAt_.erase(askedAt_.begin());
     recordFeedRequest(selection_);
-    peers_.send(selection_.selected_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, askedAt_));
+    peers_.send(selection_.selected_.value_, PeerMessageKind::Directory, encodeDirectoryMessage(request, now));
 }
 
 // Tells the leader that an endpoint has begun to fail, before the next regular question.
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -68,7 +68,7 @@
     MemberSelection selection_;
     std::uint64_t number_ { 0 };
     TimePoint confirmed_; ///< When the last confirmed answer was asked for.
-    TimePoint askedAt_;
+    std::map<std::uint64_t, TimePoint> askedAt_; ///< Of the latest requests to the selected member.
     bool reportDue_ { false }; ///< A question with fresh reports is scheduled.
     std::string registryMark_;
     bool shuttingDown_ { false };
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -51,6 +51,7 @@
         reader.readCount("tolerated_losses", settings.toleratedLosses_, 0, maximumControlVoters / 2);
         readCatchUp(reader, settings.catchUp_);
         readOptionalAddress(reader, "authority", settings.authority_);
+        reader.read("authority_checks_fences", settings.authorityChecksFences_, false, "true or false");
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
         reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -24,6 +24,7 @@
     std::size_t toleratedLosses_ { 1 }; ///< Control members that may be lost at once.
     std::chrono::milliseconds catchUp_ { 4000 }; ///< After its start, a control member counts as available.
     std::string authority_; ///< Where promotions are ordered, ip:port, or empty.
+    bool authorityChecksFences_ { true }; ///< If not, primaries are used only while a lease on them is valid.
     std::chrono::milliseconds heartbeat_ { 1200 }; ///< The interval at which endpoints report.
     std::chrono::milliseconds shutdown_ { 6000 }; ///< From the signal to the forced end.
     std::size_t maximumFiles_ { 1024 };
--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -77,6 +77,10 @@
 {
     const auto& session = job->session_;
     auto& sql = session->sql_;
+    const bool keeps = job->kind_ == StatementKind::Write ? sql.transaction_ == TransactionState::None
+                                                          : job->kind_ == StatementKind::Commit && session->wrote_;
+    if (keeps && !mayUseAsPrimary(job->group_, link->endpoint()))
+        return answerInDoubt(job, link, reply);
     jobDone(job);
     const bool wrote = job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None;
     const bool committed = job->kind_ == StatementKind::Commit;
@@ -98,6 +102,27 @@
     session->channel_->offer();
 }
 
+// The endpoint has committed, but the lease on it ended meanwhile: it may have had a successor, and the commit is lost
+// then.
+void StatementGateway::answerInDoubt(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply& reply)
+{
+    const auto& session = job->session_;
+    LogLine(LogKind::Uncertain, "lease_ended")
+        .with("request", job->id_)
+        .with("endpoint", link->endpoint().value_)
+        .with("version", leases_.table_.version_.number_)
+        .with("sent_ago", suspendAwareNow() - job->sent_);
+    metrics_.count(Reason::LeaseEnded);
+    jobDone(job);
+    if (job->kind_ == StatementKind::Commit) {
+        release(session, reply.mark_ != platform::SessionMark::Idle);
+        session->sql_.transaction_ = TransactionState::None;
+    } else {
+        freeLink(link, reply.mark_ == platform::SessionMark::Idle);
+    }
+    failStatement(session, StatementError::InDoubt, "the primary may have been replaced");
+}
+
 // Ends a statement with an error and goes on with what the client has sent since.
 void StatementGateway::failStatement(const SessionPtr& session, StatementError error, std::string_view text)
 {
@@ -282,7 +307,8 @@
     const bool waitsForPrimary = job->needsPrimary_ && (!first || isFailing(first->load_));
     const auto waiting = group.primaryQueue_.waiting_ + group.readQueue_.waiting_;
     const auto comeBack = retryAfter(waiting, first ? first->load_.responseSeconds_ : 0, waitsForPrimary);
-    const auto told = waitsForPrimary ? Reason::GroupWithoutPrimary : reason;
+    const bool isUnleased = options_.needsLeases_ && waitsForPrimary && !first && primaryOf(registry_, job->group_);
+    const auto told = isUnleased ? Reason::PrimaryNotLeased : waitsForPrimary ? Reason::GroupWithoutPrimary : reason;
     metrics_.count(told);
     LogLine(LogKind::Refusal, reasonInfo(told).name_)
         .with("request", job->id_)
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -43,9 +43,64 @@
     return *group;
 }
 
+// The endpoint that this instance may use as the primary, or null.
+const RegisteredEndpoint* StatementGateway::primaryRecord(const GroupId& group) const
+{
+    if (!options_.needsLeases_)
+        return primaryOf(registry_, group);
+    const auto* lease = validLease(leases_, group, suspendAwareNow());
+    const auto found = lease ? registry_.records_.find(lease->primary_) : registry_.records_.end();
+    return found != registry_.records_.end() && found->second.group_ == group ? &found->second : nullptr;
+}
+
+bool StatementGateway::mayUseAsPrimary(const GroupId& group, const EndpointId& endpoint) const
+{
+    return !options_.needsLeases_ || isLeased(leases_, group, endpoint, suspendAwareNow());
+}
+
+void StatementGateway::receiveLeases(const LeaseGrant& grant, std::optional<TimePoint> requestedAt)
+{
+    const auto before = leases_.table_;
+    if (!cassiahollow::receiveLeases(leases_, grant, requestedAt))
+        return;
+    LogLine(LogKind::Belief, "leases_changed")
+        .with("term", leases_.table_.version_.term_)
+        .with("version", leases_.table_.version_.number_)
+        .with("leases", static_cast<std::uint64_t>(leases_.table_.leases_.size()));
+    // The control leader may wait for the confirmation before it orders a promotion.
+    if (reportHandler_)
+        reportHandler_();
+    for (const auto& lease : leases_.table_.leases_) {
+        const auto* old = findLease(before, lease.group_);
+        if (old && old->primary_ == lease.primary_)
+            continue;
+        auto& group = groupOf(lease.group_);
+        requestSample(group);
+        dispatch(group);
+    }
+}
+
+void StatementGateway::watchLeases()
+{
+    const bool isValid = suspendAwareNow() - leases_.provenAt_ < leaseDuration;
+    if (isValid == hadLeases_)
+        return;
+    hadLeases_ = isValid;
+    LogLine(LogKind::Dependency, isValid ? "leases_renewed" : "leases_expired")
+        .with("version", leases_.table_.version_.number_)
+        .with("age", suspendAwareNow() - leases_.provenAt_);
+    if (!isValid)
+        return metrics_.add(CounterId::LeasesExpired);
+    for (const auto& [id, group] : groups_) {
+        if (!group->awaitSample_.empty())
+            requestSample(*group);
+        dispatch(*group);
+    }
+}
+
 const StatementGateway::Endpoint* StatementGateway::primary(const Group& group) const
 {
-    const auto* record = primaryOf(registry_, group.id_);
+    const auto* record = primaryRecord(group.id_);
     if (!record)
         return nullptr;
     const auto found = endpoints_.find(record->id_);
@@ -207,8 +262,8 @@
     LogLine(LogKind::Dependency, "endpoint_failing")
         .with("endpoint", endpoint.record_.id_.value_)
         .with("group", endpoint.record_.group_.value_);
-    if (suspicionHandler_ && endpoint.record_.role_ == EndpointRole::Primary)
-        suspicionHandler_();
+    if (reportHandler_ && endpoint.record_.role_ == EndpointRole::Primary)
+        reportHandler_();
 }
 
 void StatementGateway::openLink(Endpoint& endpoint)
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -32,6 +32,9 @@
     auto* endpoint = find(session->link_->endpoint());
     if (session->link_->isClosed() || !endpoint)
         return lost(job, false);
+    // Nothing of the transaction is kept yet, and a commit now could be one that a new primary does not have.
+    if (job->kind_ == StatementKind::Commit && session->wrote_ && !mayUseAsPrimary(job->group_, endpoint->record_.id_))
+        return refuseJob(job, Reason::PrimaryNotLeased);
     ++endpoint->load_.inFlight_;
     ++job->outstanding_;
     job->sent_ = suspendAwareNow();
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -340,6 +340,8 @@
     endIdleTransactions();
     if (shuttingDown_ || sendAway_)
         closeResting();
+    if (options_.needsLeases_)
+        watchLeases();
     watchSilence();
     if (++ticks_ % spareLinkTicks == 0)
         closeSpareLinks();
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -27,6 +27,7 @@
     struct Options {
         std::string instance_; ///< Told to endpoints.
         DataCentre dataCentre_;
+        bool needsLeases_ { false }; ///< Primaries may be used only while a lease on them is valid.
     };
 
     StatementGateway(EventLoop&, Metrics&, Options);
@@ -48,8 +49,12 @@
 
     /// What this instance has seen of the endpoints that it used lately.
     std::vector<EndpointObservation> reports() const;
-    /// Called when an endpoint begins to fail.
-    void setSuspicionHandler(std::function<void()> handler) { suspicionHandler_ = std::move(handler); }
+    /// Called when the control members should learn something soon: an endpoint begins to fail, or leases have ended.
+    void setReportHandler(std::function<void()> handler) { reportHandler_ = std::move(handler); }
+
+    /// The leases in a response to a request sent at `requestedAt`, or in a push.
+    void receiveLeases(const LeaseGrant&, std::optional<TimePoint> requestedAt);
+    const LeaseVersion& leaseVersion() const { return leases_.table_.version_; }
 
     bool hasCatalog() const { return catalog_ != nullptr; }
     std::uint64_t catalogVersion() const { return catalog_ ? catalog_->version_ : 0; }
@@ -115,6 +120,7 @@
     void hedge(Group&, const JobPtr&);
     void answerFailure(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
     void answerSuccess(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&, bool provedLead);
+    void answerInDoubt(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
     void failStatement(const SessionPtr&, StatementError, std::string_view text);
     void lost(const JobPtr&, bool wasSent);
     void timedOut(const JobPtr&);
@@ -128,6 +134,9 @@
     Endpoint* primary(const Group&);
     const Endpoint* primary(const Group&) const;
     Endpoint* find(const EndpointId&);
+    const RegisteredEndpoint* primaryRecord(const GroupId&) const;
+    bool mayUseAsPrimary(const GroupId&, const EndpointId&) const;
+    void watchLeases();
     bool isUsable(const Endpoint&) const;
     bool isScarceFor(const GroupId&) const;
     const Endpoint* preferred(const Group&) const;
@@ -158,7 +167,9 @@
     std::size_t instances_ { 1 };
     std::size_t rank_ { 0 };
     RetryBudget retryBudget_;
-    std::function<void()> suspicionHandler_;
+    LeaseView leases_;
+    bool hadLeases_ { false }; ///< Leases were valid at the last tick.
+    std::function<void()> reportHandler_;
     bool shuttingDown_ { false };
     bool isolated_ { false };
     bool sendAway_ { false };
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -1,6 +1,7 @@
 #include "version/ControlTask.h"
 
 #include "cassiahollow/version/ControlCodec.h"
+#include "process/SuspendAwareClock.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -19,6 +20,8 @@
     constexpr auto tickInterval = std::chrono::milliseconds(50);
     // Messages of several seconds from seven members; more than that means that the disk has stopped.
     constexpr std::size_t maximumEvents = 10000;
+    // More rounds than an election timeout holds need no time of their own: an older one then counts for them.
+    constexpr std::size_t maximumOpenRounds = 256;
 
     // Runs a function that returns leaf::result<void> and gives its failure, or nothing when it succeeds.
     template <typename F> std::optional<Failure> failureOf(F&& function)
@@ -34,11 +37,13 @@
             });
     }
 
-    ControlStatus statusOf(const ControlLogState& log)
+    ControlStatus statusOf(const ControlLogState& log, const std::shared_ptr<const PromotionGrants>& grants)
     {
+        const bool isChanged = *grants != log.control_.grants_;
         return { log.role_, log.stored_.promise_.term_, log.leader_ ? log.leader_->instance_ : InstanceId(),
             log.configuration_ ? log.configuration_->members_ : std::vector<ControlMember>(),
-            log.configuration_ && isVoter(*log.configuration_, log.identity_) };
+            log.configuration_ && isVoter(*log.configuration_, log.identity_), hasAppliedEarlierTerms(log),
+            isChanged ? std::make_shared<const PromotionGrants>(log.control_.grants_) : grants };
     }
 
 } // namespace
@@ -167,7 +172,9 @@
 
 bool ControlTask::handle(const ControlEvent& event, TimePoint now)
 {
+    const auto sentAt = suspendAwareNow();
     const auto actions = step(log_, event, now);
+    recordRounds(sentAt);
     if (log_.role_ == ControlRole::Leader)
         contact_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
     else if (log_.hasLeaderContact_)
@@ -177,6 +184,27 @@
     return carryOut(actions);
 }
 
+void ControlTask::recordRounds(TimePoint sentAt)
+{
+    const auto term = log_.stored_.promise_.term_;
+    if (log_.role_ != ControlRole::Leader || term != roundsTerm_) {
+        rounds_.clear();
+        roundsTerm_ = term;
+        lastRound_ = 0;
+        proven_.store(0, std::memory_order_relaxed);
+    }
+    if (log_.role_ != ControlRole::Leader)
+        return;
+    if (log_.round_ > lastRound_ && rounds_.size() < maximumOpenRounds)
+        rounds_.push_back({ log_.round_, sentAt });
+    lastRound_ = log_.round_;
+    const auto confirmed = confirmedRound(log_);
+    while (!rounds_.empty() && rounds_.front().number_ <= confirmed) {
+        proven_.store(rounds_.front().sentAt_.time_since_epoch().count(), std::memory_order_relaxed);
+        rounds_.pop_front();
+    }
+}
+
 // Carries the actions out in order and stops at the first failure, because nothing may be sent or answered on the
 // strength of contents that are not on disk.
 bool ControlTask::carryOut(const std::vector<ControlAction>& actions)
@@ -231,7 +259,7 @@
 
 void ControlTask::reportStatus()
 {
-    auto status = statusOf(log_);
+    auto status = statusOf(log_, status_.grants_);
     if (status == status_)
         return;
     status_ = std::move(status);
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -22,6 +22,8 @@
 
 namespace cassiahollow {
 
+using PromotionGrants = std::map<GroupId, PromotionGrant>;
+
 /// What operators see of a control member.
 struct ControlStatus {
     ControlRole role_ { ControlRole::Follower };
@@ -29,6 +31,9 @@
     InstanceId leader_; ///< Empty while no leader is known.
     std::vector<ControlMember> members_; ///< Empty before founding.
     bool isVoter_ { false }; ///< Whether this member votes.
+    bool hasAppliedEarlierTerms_ { false }; ///< As the leader: the grants of all earlier leaders are known.
+    /// The latest grant of each group; never null. The object is replaced when a grant changes.
+    std::shared_ptr<const PromotionGrants> grants_ { std::make_shared<const PromotionGrants>() };
 
     bool operator==(const ControlStatus&) const = default;
 };
@@ -86,12 +91,17 @@
     /// before the first contact. Any thread.
     TimePoint lastContact() const { return TimePoint(Duration(contact_.load(std::memory_order_relaxed))); }
 
+    /// As the leader, when the last message was sent that a majority has answered, on a clock that also advances while
+    /// the machine is suspended; else the epoch. Any thread.
+    TimePoint majorityProvenAt() const { return TimePoint(Duration(proven_.load(std::memory_order_relaxed))); }
+
     /// Answers what is unfinished and ends the thread. Does nothing when the thread has ended.
     void stop();
 
 private:
     void run();
     bool handle(const ControlEvent&, TimePoint now);
+    void recordRounds(TimePoint sentAt);
     bool carryOut(const std::vector<ControlAction>&);
     bool reportSettings(const std::shared_ptr<const SettingsTree>&);
     void reportGroup(const GroupId&, const GroupMembers&);
@@ -103,7 +113,14 @@
     ControlTaskCallbacks callbacks_;
     std::thread thread_;
 
+    /// A round of messages of this leader that a majority has not answered yet.
+    struct SentRound {
+        std::uint64_t number_;
+        TimePoint sentAt_; ///< Of the suspend-aware clock, before the round was sent.
+    };
+
     std::atomic<Duration::rep> contact_ { 0 };
+    std::atomic<Duration::rep> proven_ { 0 };
 
     std::mutex mutex_;
     std::condition_variable arrived_;
@@ -118,6 +135,9 @@
     std::map<GroupId, std::uint64_t> groupVersions_;
     std::set<std::uint64_t> unanswered_;
     std::uint64_t dropped_ { 0 };
+    std::deque<SentRound> rounds_;
+    Term roundsTerm_ { 0 };
+    std::uint64_t lastRound_ { 0 };
     ControlStatus status_;
     Failure failure_ { Reason::StorageFailed, {} };
 };
--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -101,11 +101,12 @@
 
 } // namespace
 
-DutyRunner::DutyRunner(
-    EventLoop& loop, DutyRunnerOptions options, const EndpointRegistry& registry, RequestGrant requestGrant)
+DutyRunner::DutyRunner(EventLoop& loop, DutyRunnerOptions options, const EndpointRegistry& registry,
+    PrimaryLeases* leases, RequestGrant requestGrant)
     : loop_(loop)
     , options_(std::move(options))
     , registry_(registry)
+    , leases_(leases)
     , requestGrant_(std::move(requestGrant))
     , sockets_(loop)
     , calls_(loop)
@@ -123,7 +124,7 @@
         return;
     leading_ = leading;
     ++reign_;
-    beginDuty(duty_);
+    beginDuty(duty_, Clock::now());
     loggedPhases_.clear();
 }
 
@@ -143,7 +144,13 @@
     if (!leading_ || !catalog_ || ticking_)
         return;
     ticking_ = true;
-    const auto actions = tickDuty(duty_, registry_, *catalog_, options_.promotion_, Clock::now());
+    std::optional<PromotionGate> gate;
+    if (leases_)
+        gate = leases_->gate(*catalog_);
+    const auto actions
+        = tickDuty(duty_, registry_, *catalog_, options_.promotion_, Clock::now(), gate ? &*gate : nullptr);
+    if (gate)
+        leases_->set(usablePrimaries(duty_, registry_, *catalog_, *gate));
     logPhases();
     for (const auto& action : actions)
         std::visit([this](const auto& body) { carryOut(body); }, action);
--- a/daemon/version/DutyRunner.h
+++ b/daemon/version/DutyRunner.h
@@ -5,6 +5,7 @@
 #include "connection/LineChannel.h"
 #include "process/EventLoop.h"
 #include "version/ControlTask.h"
+#include "version/PrimaryLeases.h"
 
 #include <functional>
 #include <memory>
@@ -25,7 +26,8 @@
     /// Asks the control log for a grant; answered through granted().
     using RequestGrant = std::function<void(const GrantChange&)>;
 
-    DutyRunner(EventLoop&, DutyRunnerOptions, const EndpointRegistry&, RequestGrant);
+    /// `leases` is null if the authority checks fences.
+    DutyRunner(EventLoop&, DutyRunnerOptions, const EndpointRegistry&, PrimaryLeases* leases, RequestGrant);
     ~DutyRunner();
     DutyRunner(const DutyRunner&) = delete;
     DutyRunner& operator=(const DutyRunner&) = delete;
@@ -52,6 +54,7 @@
     EventLoop& loop_;
     const DutyRunnerOptions options_;
     const EndpointRegistry& registry_;
+    PrimaryLeases* const leases_;
     const RequestGrant requestGrant_;
     LineSockets sockets_;
     HttpCalls calls_;
--- a/daemon/version/PrimarySampler.cpp
+++ b/daemon/version/PrimarySampler.cpp
@@ -20,10 +20,12 @@
 
 } // namespace
 
-PrimarySampler::PrimarySampler(EventLoop& loop, const EndpointRegistry& registry, std::string instance)
+PrimarySampler::PrimarySampler(
+    EventLoop& loop, const EndpointRegistry& registry, std::string instance, const LeaseView* leases)
     : loop_(loop)
     , registry_(registry)
     , instance_(std::move(instance))
+    , leases_(leases)
     , sockets_(loop)
 {
 }
@@ -54,7 +56,9 @@
                 connectTime, connectionSilence, {});
         }
         const bool isDue = now - group->asked_ >= sampleInterval;
-        if (group->link_ && group->link_->isReady() && !group->asking_ && isDue)
+        // Without the lease, the primary may have a successor.
+        const bool mayAsk = !leases_ || isLeased(*leases_, rules.group_, group->primary_, now);
+        if (group->link_ && group->link_->isReady() && !group->asking_ && isDue && mayAsk)
             ask(rules.group_, *group);
     }
 }
--- a/daemon/version/PrimarySampler.h
+++ b/daemon/version/PrimarySampler.h
@@ -16,7 +16,8 @@
 /// one connection to the primary of each group whose connections are scarce.
 class PrimarySampler {
 public:
-    PrimarySampler(EventLoop&, const EndpointRegistry&, std::string instance);
+    /// `leases` is null if primaries need no lease.
+    PrimarySampler(EventLoop&, const EndpointRegistry&, std::string instance, const LeaseView* leases);
     PrimarySampler(const PrimarySampler&) = delete;
     PrimarySampler& operator=(const PrimarySampler&) = delete;
 
@@ -41,6 +42,7 @@
     EventLoop& loop_;
     const EndpointRegistry& registry_;
     const std::string instance_;
+    const LeaseView* const leases_;
     LineSockets sockets_;
     std::map<GroupId, std::unique_ptr<Sampled>> groups_;
 };
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -2,6 +2,7 @@
 
 #include "cassiahollow/process/EndpointRegistry.h"
 #include "cassiahollow/version/ControlState.h"
+#include "cassiahollow/version/PrimaryLease.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -31,6 +32,7 @@
     bool takesRequests_ { true }; ///< False if the instance is shutting down.
     bool missesResponses_ { false }; ///< Earlier responses were lost; the connection to the requester may be dead.
     std::vector<EndpointObservation> reports_;
+    LeaseVersion leaseVersion_; ///< The instance has replaced all leases older than this version.
 };
 
 /// A log position of a group's primary and the time since it was requested. Only the instance that requested the
@@ -66,6 +68,7 @@
     std::size_t instances_ { 0 }; ///< Number of entry instances with a recent request.
     std::size_t rank_ { 0 }; ///< Position of the requester among these instances.
     std::vector<GroupSample> samples_; ///< Positions of groups whose connections are scarce.
+    std::optional<LeaseGrant> leases_; ///< Set if the deployment needs leases on primaries.
 };
 
 /// Sent between control members: endpoint records; also serves as a heartbeat.
@@ -82,7 +85,20 @@
     std::vector<EndpointObservation> reports_;
 };
 
-using DirectoryMessage = std::variant<FeedRequest, FeedResponse, RegistryUpdate, ReportRelay>;
+/// Sent by a control member to the leader: requests the leases that it passes on.
+struct LeaseRequest {
+    std::uint64_t number_ { 0 }; ///< Repeated in the response, so that the requester can date it by its own clock.
+    LeaseVersion known_; ///< Version of the table that the member has.
+    LeaseVersion confirmed_; ///< No instance can use an older table that the member has passed on.
+};
+
+struct LeaseResponse {
+    std::uint64_t number_ { 0 }; ///< Number of the request; 0 if there was no request.
+    LeaseGrant grant_;
+};
+
+using DirectoryMessage
+    = std::variant<FeedRequest, FeedResponse, RegistryUpdate, ReportRelay, LeaseRequest, LeaseResponse>;
 
 /// Encodes a message. Time points are sent as ages relative to `now`, so that clocks of two machines are never
 /// compared.
--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -41,6 +41,8 @@
     PeerBytesSent,
     PeerBytesReceived,
     Promotions,
+    LeasesWithdrawn,
+    LeasesExpired,
     Count
 };
 
--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -26,6 +26,8 @@
     DeadlinePassed,
     GroupWithoutMajority,
     GroupWithoutPrimary,
+    PrimaryNotLeased,
+    LeaseEnded,
     GroupUnknown,
     EndpointLeaving,
     NoEndpointForRead,
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -363,6 +363,13 @@
 /// Returns the number of members with a vote.
 std::size_t voterCount(const std::vector<ControlMember>&);
 
+/// Returns the highest round of messages that a majority of the voters has acknowledged to this leader, or 0 if this
+/// member does not lead. No other member was elected before that round was sent.
+std::uint64_t confirmedRound(const ControlLogState&);
+
+/// Returns whether this member leads and has applied every entry that earlier leaders committed.
+bool hasAppliedEarlierTerms(const ControlLogState&);
+
 } // namespace cassiahollow
 
 #include "cassiahollow/version/ControlLog-inl.h"
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -2,6 +2,7 @@
 
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/EndpointRegistry.h"
+#include "cassiahollow/version/PrimaryLease.h"
 #include "cassiahollow/version/RouteCatalog.h"
 
 #include <map>
@@ -27,6 +28,7 @@
     Leaving, ///< It has announced its shutdown.
     Missing, ///< No endpoint of the group reports the primary role.
     Strained, ///< It rejects reads that no replica can serve, because all replicas lag too far behind.
+    Unfinished, ///< The last grant names another endpoint, whose promotion may still be executed.
 };
 
 /// Checks over a new connection whether an endpoint is alive. Completed by a ProbeResult.
@@ -95,6 +97,7 @@
     Granting, ///< A fence has been requested.
     SteppingDown, ///< A primary that is shutting down or strained has been requested to stop accepting writes.
     CatchingUp, ///< The target receives the remaining writes that the primary had acknowledged.
+    EndingLeases, ///< Instances may still use the primary, and the authority would not stop them.
     Ordering, ///< The promotion has been requested.
     Settling, ///< The order was accepted or its outcome is unknown; the registry does not show it yet.
 };
@@ -117,6 +120,10 @@
     std::uint64_t fence_ { 0 };
     bool isOrderUnknown_ { false }; ///< The last order got no response or was rate limited.
     LogPosition stoppedPosition_; ///< Last position of a primary that stepped down.
+    bool hasStopped_ { false }; ///< The primary has confirmed that it accepts no more writes in its term.
+    EndpointId openOrderTarget_; ///< Target of the last order that may have been or may still be executed.
+    TimePoint openOrderAt_; ///< When that order was answered or given up.
+    bool wasOrderUnanswered_ { false }; ///< An order for that target has had no answer.
     std::optional<LogPosition> firstSurveyPosition_; ///< Position of a strained primary at the first survey.
     std::optional<TimePoint> strainedSince_;
     TimePoint nextStrainedReplacementAt_; ///< Earliest time to replace a strained primary.
@@ -140,6 +147,14 @@
 struct PromotionDuty {
     std::map<GroupId, GroupPromotion> groups_;
     std::map<EndpointId, std::map<InstanceId, InstanceReport>> reports_;
+    TimePoint beganAt_; ///< When this instance became the control leader.
+};
+
+/// What limits promotions where the authority executes orders without checking fences.
+struct PromotionGate {
+    bool mayOrder_ { false }; ///< No other control leader can order promotions now.
+    std::set<GroupId> endedLeases_; ///< Groups whose primary no instance uses.
+    std::map<GroupId, EndpointId> granted_; ///< The endpoint of the latest grant of each group.
 };
 
 /// Time limits and thresholds, derived from the guaranteed duration of a change of primary.
@@ -176,18 +191,27 @@
     Duration strainedReplacementInterval_ { std::chrono::seconds(10) };
     /// Time for which a group may have no primary before a replica is promoted.
     Duration missingPrimaryTimeout_ { std::chrono::seconds(3) };
+    /// Without fences: time after an order without a response in which no other endpoint is promoted, because the
+    /// order may be executed late.
+    Duration lateOrderTimeout_ { std::chrono::seconds(5) };
 };
 
 /// Resets the state when this instance becomes the control leader. Orders of an earlier leader may still be executed.
-void beginDuty(PromotionDuty&);
+void beginDuty(PromotionDuty&, TimePoint now);
 
 /// Stores the reports of an instance.
 void handleReports(PromotionDuty&, const InstanceId&, const std::vector<EndpointObservation>&, TimePoint now);
 
 /// Advances all groups and returns the actions to execute. Must be called several times a second and after each
 /// handleReports().
-std::vector<PromotionAction> tickDuty(
-    PromotionDuty&, const EndpointRegistry&, const RouteCatalog&, const PromotionOptions&, TimePoint now);
+/// `gate` is null if the authority checks fences.
+std::vector<PromotionAction> tickDuty(PromotionDuty&, const EndpointRegistry&, const RouteCatalog&,
+    const PromotionOptions&, TimePoint now, const PromotionGate* gate = nullptr);
+
+/// The primaries that instances may use: those of the groups in which no promotion is about to be ordered or may still
+/// be executed.
+std::vector<PrimaryLease> usablePrimaries(
+    const PromotionDuty&, const EndpointRegistry&, const RouteCatalog&, const PromotionGate&);
 
 /// Store the results of actions. Results that are no longer expected are ignored. The next tickDuty() acts on them;
 /// call it immediately.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 #include <zlib.h>
 
@@ -15,7 +16,14 @@
 
 namespace {
 
-    enum Kind : std::uint8_t { KindFeedRequest = 1, KindFeedResponse, KindRegistryUpdate, KindReportRelay };
+    enum Kind : std::uint8_t {
+        KindFeedRequest = 1,
+        KindFeedResponse,
+        KindRegistryUpdate,
+        KindReportRelay,
+        KindLeaseRequest,
+        KindLeaseResponse,
+    };
 
     // A compressed catalog starts with the size of the document, in little-endian order.
     constexpr std::size_t sizePrefixBytes = 4;
@@ -23,6 +31,8 @@
     constexpr std::size_t maximumDocumentBytes = 1 << 20;
     // Encodes the maximum age, which means "never".
     constexpr std::int64_t noAge = -1;
+    // Longer ages make no difference to any decision, and times before the start of a clock cannot be represented.
+    constexpr std::int64_t maximumAgeMs = std::chrono::milliseconds(std::chrono::hours(24 * 365)).count();
 
     std::int64_t toAge(Duration age)
     {
@@ -32,7 +42,8 @@
     Duration fromAge(const json& in)
     {
         const auto age = in.get<std::int64_t>();
-        return age == noAge ? Duration::max() : Duration(std::chrono::milliseconds(age));
+        return age == noAge ? Duration::max()
+                            : Duration(std::chrono::milliseconds(std::clamp<std::int64_t>(age, 0, maximumAgeMs)));
     }
 
     // An array in a fixed order takes half the bytes of a map.
@@ -137,10 +148,45 @@
         return samples;
     }
 
+    json toJson(const LeaseVersion& version)
+    {
+        return json::array({ version.term_, version.number_ });
+    }
+
+    LeaseVersion leaseVersionFrom(const json& in)
+    {
+        return { in.at(0).get<std::uint64_t>(), in.at(1).get<std::uint64_t>() };
+    }
+
+    json toJson(const LeaseGrant& grant)
+    {
+        json leases;
+        if (grant.table_) {
+            leases = json::array();
+            for (const auto& lease : grant.table_->leases_)
+                leases.push_back(json::array({ lease.group_.value_, lease.primary_.value_ }));
+        }
+        return json::array({ toJson(grant.version_), toAge(grant.age_), std::move(leases) });
+    }
+
+    LeaseGrant leaseGrantFrom(const json& in)
+    {
+        LeaseGrant grant { leaseVersionFrom(in.at(0)), fromAge(in.at(1)), std::nullopt };
+        if (in.at(2).is_null())
+            return grant;
+        grant.table_ = LeaseTable { grant.version_, {} };
+        for (const auto& lease : in.at(2)) {
+            grant.table_->leases_.push_back(
+                { GroupId(lease.at(0).get<std::string>()), EndpointId(lease.at(1).get<std::string>()) });
+        }
+        return grant;
+    }
+
     json toJson(const FeedRequest& message, TimePoint)
     {
         return json::array({ KindFeedRequest, message.number_, message.catalogVersion_, message.registryVersion_,
-            message.takesRequests_, message.missesResponses_, toJson(message.reports_) });
+            message.takesRequests_, message.missesResponses_, toJson(message.reports_),
+            toJson(message.leaseVersion_) });
     }
 
     json toJson(const FeedResponse& message, TimePoint now)
@@ -151,7 +197,8 @@
                              : json(),
             message.registryVersion_, message.records_ ? toJson(*message.records_, now) : json(),
             message.leader_.value_, toJson(message.members_), message.instances_, message.rank_,
-            toJson(message.samples_), toAge(message.contactAge_) });
+            toJson(message.samples_), toAge(message.contactAge_),
+            message.leases_ ? toJson(*message.leases_) : json() });
     }
 
     json toJson(const RegistryUpdate& message, TimePoint now)
@@ -165,10 +212,23 @@
         return json::array({ KindReportRelay, message.instance_.value_, toJson(message.reports_) });
     }
 
+    json toJson(const LeaseRequest& message, TimePoint)
+    {
+        return json::array({ KindLeaseRequest, message.number_, toJson(message.known_), toJson(message.confirmed_) });
+    }
+
+    json toJson(const LeaseResponse& message, TimePoint)
+    {
+        return json::array({ KindLeaseResponse, message.number_, toJson(message.grant_) });
+    }
+
     FeedRequest requestFrom(const json& in)
     {
-        return { in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>(), in.at(3).get<std::string>(),
-            in.at(4).get<bool>(), in.at(5).get<bool>(), reportsFrom(in.at(6)) };
+        FeedRequest request { in.at(1).get<std::uint64_t>(), in.at(2).get<std::uint64_t>(), in.at(3).get<std::string>(),
+            in.at(4).get<bool>(), in.at(5).get<bool>(), reportsFrom(in.at(6)), {} };
+        if (in.size() > 7) // Requests of earlier versions end here.
+            request.leaseVersion_ = leaseVersionFrom(in.at(7));
+        return request;
     }
 
     FeedResponse responseFrom(const json& in, TimePoint now)
@@ -192,6 +252,8 @@
         response.samples_ = samplesFrom(in.at(11));
         if (in.size() > 12) // Responses of earlier versions end here.
             response.contactAge_ = fromAge(in.at(12));
+        if (in.size() > 13 && !in.at(13).is_null())
+            response.leases_ = leaseGrantFrom(in.at(13));
         return response;
     }
 
@@ -207,6 +269,11 @@
                 instancesFrom(in.at(4)) };
         case KindReportRelay:
             return ReportRelay { InstanceId(in.at(1).get<std::string>()), reportsFrom(in.at(2)) };
+        case KindLeaseRequest:
+            return LeaseRequest { in.at(1).get<std::uint64_t>(), leaseVersionFrom(in.at(2)),
+                leaseVersionFrom(in.at(3)) };
+        case KindLeaseResponse:
+            return LeaseResponse { in.at(1).get<std::uint64_t>(), leaseGrantFrom(in.at(2)) };
         default:
             throw std::invalid_argument("unknown kind of directory message");
         }
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -38,6 +38,8 @@
         { "peer_sent_bytes_total", "Bytes sent to other instances." },
         { "peer_received_bytes_total", "Bytes received from other instances." },
         { "promotions_total", "Promotions finished by this instance." },
+        { "leases_withdrawn_total", "Leases on primaries that this control leader ended." },
+        { "leases_expired_total", "Leases on primaries that were not renewed in time." },
     } };
 
     double seconds(Duration duration)
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -1254,4 +1254,29 @@
     return actions;
 }
 
+std::uint64_t confirmedRound(const ControlLogState& state)
+{
+    if (!isLeader(state) || !state.configuration_)
+        return 0;
+    std::vector<std::uint64_t> rounds;
+    for (const auto& member : state.configuration_->members_) {
+        if (!member.voter_)
+            continue;
+        const auto progress = state.progress_.find(member.identity_);
+        const auto known = progress == state.progress_.end() ? 0 : progress->second.round_;
+        rounds.push_back(member.identity_ == state.identity_ ? state.round_ : known);
+    }
+    if (rounds.empty())
+        return 0;
+    // Sorted from the highest, the first majority ends here.
+    const auto last = rounds.begin() + static_cast<std::ptrdiff_t>(rounds.size() / 2);
+    std::nth_element(rounds.begin(), last, rounds.end(), std::greater<>());
+    return *last;
+}
+
+bool hasAppliedEarlierTerms(const ControlLogState& state)
+{
+    return isOwnTermCommitted(state) && state.applied_ == state.commit_;
+}
+
 } // namespace cassiahollow
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -16,9 +16,25 @@
         const RouteCatalog& catalog_;
         const PromotionOptions& options_;
         TimePoint now_;
+        const PromotionGate* gate_;
         std::vector<PromotionAction> actions_;
     };
 
+    // Whether an order may follow without another look at the primary. A planned replacement may still be given up
+    // during its survey.
+    bool isReplacementDecided(const GroupPromotion& group)
+    {
+        switch (group.phase_) {
+        case PromotionPhase::Watching:
+        case PromotionPhase::Probing:
+            return false;
+        case PromotionPhase::Surveying:
+            return group.cause_ != PromotionCause::Leaving && group.cause_ != PromotionCause::Strained;
+        default:
+            return true;
+        }
+    }
+
     void enterPhase(TickContext& context, GroupPromotion& group, PromotionPhase phase)
     {
         group.phase_ = phase;
@@ -70,7 +86,8 @@
     {
         auto endpoints = endpointsOf(context.registry_, id);
         std::erase_if(endpoints, [&](const RegisteredEndpoint* record) {
-            return record->leaving_ || record->id_ == group.primary_ || isSilent(context, *record);
+            const bool isReplaced = record->id_ == group.primary_ && group.cause_ != PromotionCause::Unfinished;
+            return record->leaving_ || isReplaced || isSilent(context, *record);
         });
         return endpoints;
     }
@@ -134,11 +151,21 @@
         group.cause_ = cause;
         group.refusedTargets_.clear();
         group.stoppedPosition_ = {};
+        group.hasStopped_ = false;
         group.firstSurveyPosition_.reset();
         group.highestTerm_ = 0;
         beginSurvey(context, id, group);
     }
 
+    // The endpoint of the latest grant if it is not the primary. A control leader may have ordered its promotion, and
+    // the authority executes late orders where it checks no fences.
+    EndpointId unfinishedTarget(const PromotionGate& gate, const GroupId& id, const RegisteredEndpoint* primary)
+    {
+        const auto granted = gate.granted_.find(id);
+        const bool isOpen = granted != gate.granted_.end() && (!primary || granted->second != primary->id_);
+        return isOpen ? granted->second : EndpointId();
+    }
+
     void updateStrainedSince(const TickContext& context, GroupPromotion& group, const ReportSummary& summary)
     {
         const auto users = summary.failing_ + summary.responded_ + summary.uninformed_;
@@ -212,9 +239,22 @@
         enterPhase(context, group, PromotionPhase::Granting);
     }
 
+    // Whether a promotion that an earlier leader granted has to be completed. A group without a primary waits only for
+    // promotions that were granted just before this leader began.
+    bool isUnfinished(const TickContext& context, const GroupId& id, const RegisteredEndpoint* primary)
+    {
+        if (!context.gate_ || !context.gate_->mayOrder_ || unfinishedTarget(*context.gate_, id, primary).empty())
+            return false;
+        return primary || context.now_ - context.duty_.beganAt_ < context.options_.lateOrderTimeout_;
+    }
+
     void checkPrimary(TickContext& context, const GroupId& id, GroupPromotion& group)
     {
         const auto* primary = primaryOf(context.registry_, id);
+        if (isUnfinished(context, id, primary)) {
+            group.primary_ = primary ? primary->id_ : EndpointId();
+            return beginReplacement(context, id, group, PromotionCause::Unfinished);
+        }
         if (!primary) {
             if (!group.isMissing_) {
                 group.isMissing_ = true;
@@ -267,6 +307,26 @@
         beginReplacement(context, id, group, PromotionCause::Failed);
     }
 
+    // The only endpoint that may be promoted, or an empty id: an order for it may still be executed, even after one for
+    // another endpoint.
+    EndpointId pendingTarget(const TickContext& context, const GroupId& id, GroupPromotion& group)
+    {
+        if (!context.gate_)
+            return {};
+        const auto timeout = context.options_.lateOrderTimeout_;
+        if (context.now_ - group.openOrderAt_ >= timeout) {
+            group.openOrderTarget_ = {};
+            group.wasOrderUnanswered_ = false;
+        }
+        if (!group.openOrderTarget_.empty())
+            return group.openOrderTarget_;
+        // An earlier leader may have sent an order until just before this one began.
+        const bool mayBeOpen
+            = group.cause_ == PromotionCause::Unfinished && context.now_ - context.duty_.beganAt_ < timeout;
+        const auto granted = mayBeOpen ? unfinishedTarget(*context.gate_, id, nullptr) : EndpointId();
+        return group.refusedTargets_.contains(granted) ? EndpointId() : granted;
+    }
+
     void chooseTarget(TickContext& context, const GroupId& id, GroupPromotion& group)
     {
         const bool isTimedOut = context.now_ - group.phaseSince_ > surveyTimeout(context, group);
@@ -276,6 +336,7 @@
             return chooseStrainedTarget(context, id, group);
         if (group.needsPause_ && group.paused_.empty() && group.highestTerm_ > 0)
             return beginSurvey(context, id, group);
+        const auto pending = pendingTarget(context, id, group);
         const RegisteredEndpoint* best = nullptr;
         std::size_t responses = 0;
         for (const auto* record : findCandidates(context, id, group)) {
@@ -285,6 +346,8 @@
             ++responses;
             if (group.refusedTargets_.contains(record->id_))
                 continue;
+            if (!pending.empty() && record->id_ != pending)
+                continue;
             if (!best || position->second > group.positions_.at(best->id_))
                 best = record;
         }
@@ -300,8 +363,21 @@
         enterPhase(context, group, PromotionPhase::Granting);
     }
 
+    bool mayOrder(const TickContext& context, const GroupId& id, const GroupPromotion& group)
+    {
+        if (!context.gate_)
+            return true;
+        const bool isUnused = group.hasStopped_ || context.gate_->endedLeases_.contains(id);
+        return context.gate_->mayOrder_ && isUnused;
+    }
+
     void sendOrder(TickContext& context, const GroupId& id, GroupPromotion& group)
     {
+        if (!mayOrder(context, id, group)) {
+            if (group.phase_ != PromotionPhase::EndingLeases)
+                enterPhase(context, group, PromotionPhase::EndingLeases);
+            return;
+        }
         group.orderOutcome_.reset();
         group.isOrderUnknown_ = false;
         context.actions_.emplace_back(OrderAction { id, group.target_, group.fence_ });
@@ -340,6 +416,7 @@
         if (group.pendingResponses_.contains(group.primary_))
             return sendOrderRegardless(context, id, group);
         group.stoppedPosition_ = group.positions_[group.primary_];
+        group.hasStopped_ = true;
         group.pendingResponses_ = { group.target_ };
         context.actions_.emplace_back(SurveyAction { group.target_, 0 });
         enterPhase(context, group, PromotionPhase::CatchingUp);
@@ -366,6 +443,13 @@
     {
         if (!group.orderOutcome_)
             return;
+        const bool mayBeExecuted
+            = group.orderOutcome_ == OrderOutcome::Accepted || group.orderOutcome_ == OrderOutcome::Unknown;
+        if (mayBeExecuted) {
+            group.openOrderTarget_ = group.target_;
+            group.openOrderAt_ = context.now_;
+            group.wasOrderUnanswered_ |= group.orderOutcome_ == OrderOutcome::Unknown;
+        }
         switch (*group.orderOutcome_) {
         case OrderOutcome::Accepted:
             return enterPhase(context, group, PromotionPhase::Settling);
@@ -392,6 +476,9 @@
     {
         const auto* primary = primaryOf(context.registry_, id);
         if (primary && primary->id_ == group.target_) {
+            // An unanswered order may still be executed, even if the endpoint leads by another one.
+            if (!group.wasOrderUnanswered_)
+                group.openOrderTarget_ = {};
             group.refusedTargets_.clear();
             group.paused_.clear(); // A promotion resumes reception on all replicas.
             return enterPhase(context, group, PromotionPhase::Watching);
@@ -421,6 +508,8 @@
             return handleStepDown(context, id, group);
         case PromotionPhase::CatchingUp:
             return awaitCatchUp(context, id, group);
+        case PromotionPhase::EndingLeases:
+            return sendOrder(context, id, group);
         case PromotionPhase::Ordering:
             return handleOrderOutcome(context, id, group);
         case PromotionPhase::Settling:
@@ -430,10 +519,11 @@
 
 } // namespace
 
-void beginDuty(PromotionDuty& duty)
+void beginDuty(PromotionDuty& duty, TimePoint now)
 {
     duty.groups_.clear();
     duty.reports_.clear();
+    duty.beganAt_ = now;
 }
 
 void handleReports(
@@ -445,9 +535,9 @@
 }
 
 std::vector<PromotionAction> tickDuty(PromotionDuty& duty, const EndpointRegistry& registry,
-    const RouteCatalog& catalog, const PromotionOptions& options, TimePoint now)
+    const RouteCatalog& catalog, const PromotionOptions& options, TimePoint now, const PromotionGate* gate)
 {
-    TickContext context { duty, registry, catalog, options, now, {} };
+    TickContext context { duty, registry, catalog, options, now, gate, {} };
     for (auto& [endpoint, reports] : duty.reports_)
         std::erase_if(reports, [&](const auto& report) { return now - report.second.receivedAt_ > registryLifetime; });
     std::erase_if(duty.reports_, [](const auto& item) { return item.second.empty(); });
@@ -456,6 +546,20 @@
     return std::move(context.actions_);
 }
 
+std::vector<PrimaryLease> usablePrimaries(
+    const PromotionDuty& duty, const EndpointRegistry& registry, const RouteCatalog& catalog, const PromotionGate& gate)
+{
+    std::vector<PrimaryLease> leases;
+    for (const auto& rules : catalog.groups_) {
+        const auto* primary = primaryOf(registry, rules.group_);
+        const auto group = duty.groups_.find(rules.group_);
+        const bool isReplaced = group != duty.groups_.end() && isReplacementDecided(group->second);
+        if (primary && !isReplaced && unfinishedTarget(gate, rules.group_, primary).empty())
+            leases.push_back({ rules.group_, primary->id_ });
+    }
+    return leases;
+}
+
 void handleResult(PromotionDuty& duty, const ProbeResult& result)
 {
     for (auto& [id, group] : duty.groups_) {
@@ -516,6 +620,8 @@
         return "stepping_down";
     case PromotionPhase::CatchingUp:
         return "catching_up";
+    case PromotionPhase::EndingLeases:
+        return "ending_leases";
     case PromotionPhase::Ordering:
         return "ordering";
     case PromotionPhase::Settling:
@@ -535,6 +641,8 @@
         return "missing";
     case PromotionCause::Strained:
         return "strained";
+    case PromotionCause::Unfinished:
+        return "unfinished";
     }
     return "unknown";
 }
--- a/standin/LineGroup.h
+++ b/standin/LineGroup.h
@@ -30,7 +30,9 @@
     const std::string& name() const { return name_; }
     std::vector<EndpointId> endpoints() const;
 
+    /// Whether the endpoint takes itself for the primary.
     bool isPrimary(const EndpointId&) const;
+    bool leadsNewestTerm(const EndpointId&) const;
     Term term() const;
     /// The end of what the endpoint has applied.
     LogPosition position(const EndpointId&) const;
@@ -42,13 +44,27 @@
     void setLag(const EndpointId&, std::chrono::milliseconds);
     /// The endpoint leads the next term with what it has applied; what others had beyond is rolled back.
     void promote(const EndpointId&);
+    /// After a promotion of another endpoint, this one goes on leading its own copy of the log until it is told to step
+    /// down, like a primary that is cut off behind an authority without fences.
+    void isolate(const EndpointId&);
+    /// What an isolated endpoint committed after the promotion of another one.
+    std::vector<Commit> commitsAfterPromotion(const EndpointId&) const;
     /// The endpoint ceases to lead if its term is lower.
     void stepDown(const EndpointId&, Term);
 
     std::vector<Commit> commits() const;
 
 private:
+    /// The log of an isolated endpoint that still leads an ended term.
+    struct Branch {
+        Term term_ { 0 };
+        std::uint64_t nextIndex_ { 1 };
+        std::size_t sharedCommits_ { 0 };
+        std::vector<Commit> log_;
+    };
+
     std::size_t visible(const EndpointId&) const;
+    const std::vector<Commit>& logOf(const EndpointId&) const;
 
     const std::string name_;
     mutable std::mutex mutex_;
@@ -57,6 +73,8 @@
     Term term_ { 1 }; // guarded by mutex_
     std::uint64_t nextIndex_ { 1 }; // guarded by mutex_
     std::vector<Commit> log_; // guarded by mutex_
+    std::set<EndpointId> isolated_; // guarded by mutex_
+    std::map<EndpointId, Branch> branches_; // guarded by mutex_
 };
 
 } // namespace cassiahollow::standin
--- a/standin/LineServer.cpp
+++ b/standin/LineServer.cpp
@@ -68,7 +68,7 @@
 private:
     template <typename F> void whenLit(F next)
     {
-        if (!server_.faults_.dark_)
+        if (!server_.faults_.dark_ && !server_.isCutFrom(caller_))
             return next();
         timer_.expires_after(darkPause);
         timer_.async_wait([self = shared_from_this(), next](auto) { self->whenLit(next); });
@@ -98,7 +98,9 @@
     void handleStart(std::string line)
     {
         const auto group = takeWord(line);
-        takeWord(line);
+        caller_ = takeWord(line);
+        if (server_.isCutFrom(caller_))
+            return;
         if (group != server_.group_.name() || (!line.empty() && line != server_.id_.value_))
             return write("ERROR MOVED other\r\n", false);
         if (server_.connections_ > server_.faults_.connectionLimit_)
@@ -249,6 +251,7 @@
     LineServer& server_;
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
+    std::string caller_;
     std::string buffer_;
     std::string outgoing_;
     std::map<std::string, std::string> values_;
@@ -293,6 +296,18 @@
     return ran_;
 }
 
+void LineServer::cutFrom(const std::string& caller)
+{
+    const std::lock_guard lock(mutex_);
+    cutFrom_.insert(caller);
+}
+
+bool LineServer::isCutFrom(const std::string& caller) const
+{
+    const std::lock_guard lock(mutex_);
+    return cutFrom_.contains(caller);
+}
+
 void LineServer::note(RanStatement statement)
 {
     const std::lock_guard lock(mutex_);
--- a/standin/LineServer.h
+++ b/standin/LineServer.h
@@ -43,6 +43,8 @@
     const EndpointId& id() const { return id_; }
     std::string address() const { return address_; }
     LineFaults& faults() { return faults_; }
+    /// Answers no session of this caller any more, like a machine on the other side of a partition.
+    void cutFrom(const std::string& caller);
     std::vector<RanStatement> ran() const;
     std::size_t connections() const { return connections_; }
 
@@ -51,6 +53,7 @@
 
     void accept();
     void note(RanStatement);
+    bool isCutFrom(const std::string& caller) const;
 
     LineGroup& group_;
     const EndpointId id_;
@@ -59,6 +62,7 @@
     std::atomic<std::size_t> connections_ { 0 };
     mutable std::mutex mutex_;
     std::vector<RanStatement> ran_; // guarded by mutex_
+    std::set<std::string> cutFrom_; // guarded by mutex_
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::thread thread_;
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -158,7 +158,14 @@
     FeedResponse answer;
     answer.number_ = 4;
     answer.contactAge_ = 130ms;
-    const auto answered = carriedWithout(answer, [](nlohmann::json& fields) { fields.erase(fields.size() - 1); });
+    answer.leases_ = LeaseGrant { { 3, 5 }, 20ms, std::nullopt };
+    const auto withoutLeases = carriedWithout(answer, [](nlohmann::json& fields) { fields.erase(13); });
+    CHECK(std::get<FeedResponse>(withoutLeases).contactAge_ == 130ms);
+    CHECK_FALSE(std::get<FeedResponse>(withoutLeases).leases_);
+    const auto answered = carriedWithout(answer, [](nlohmann::json& fields) {
+        while (fields.size() > 12)
+            fields.erase(fields.size() - 1);
+    });
     CHECK(std::get<FeedResponse>(answered).number_ == 4);
     CHECK(std::get<FeedResponse>(answered).contactAge_ == 0ms);
 
@@ -169,4 +176,44 @@
     REQUIRE(reports.size() == 1);
     CHECK(reports[0].failureAge_ == 20ms);
     CHECK_FALSE(reports[0].strained_);
+
+    request.leaseVersion_ = { 3, 4 };
+    CHECK(std::get<FeedRequest>(carried(request)).leaseVersion_ == LeaseVersion { 3, 4 });
+    const auto older = carriedWithout(request, [](nlohmann::json& fields) { fields.erase(7); });
+    CHECK(std::get<FeedRequest>(older).leaseVersion_ == LeaseVersion {});
+}
+
+TEST_CASE("leases arrive whole, and with their age")
+{
+    const LeaseTable table { { 3, 5 }, { { GroupId("g"), EndpointId("i-1") }, { GroupId("h"), EndpointId("i-2") } } };
+    FeedResponse answer;
+    answer.leases_ = LeaseGrant { table.version_, 120ms, table };
+    const auto answered = std::get<FeedResponse>(carried(answer));
+    REQUIRE(answered.leases_);
+    CHECK(answered.leases_->age_ == 120ms);
+    CHECK(answered.leases_->table_ == table);
+
+    const auto asked = std::get<LeaseRequest>(carried(LeaseRequest { 8, { 3, 5 }, { 3, 4 } }));
+    CHECK(asked.number_ == 8);
+    CHECK(asked.known_ == LeaseVersion { 3, 5 });
+    CHECK(asked.confirmed_ == LeaseVersion { 3, 4 });
+    const auto granted
+        = std::get<LeaseResponse>(carried(LeaseResponse { 8, { table.version_, Duration::max(), std::nullopt } }));
+    CHECK(granted.number_ == 8);
+    CHECK(granted.grant_.version_ == table.version_);
+    CHECK(granted.grant_.age_ == Duration::max());
+    CHECK_FALSE(granted.grant_.table_);
+}
+
+// Guards against a time before the start of the clock, or one that overflows.
+TEST_CASE("an age out of range is limited")
+{
+    const auto ageOf = [](std::int64_t age) {
+        FeedResponse answer;
+        const auto decoded = carriedWithout(answer, [&](nlohmann::json& fields) { fields.at(12) = age; });
+        return std::get<FeedResponse>(decoded).contactAge_;
+    };
+    CHECK(ageOf(-2) == 0ms);
+    CHECK(ageOf(std::numeric_limits<std::int64_t>::max()) > 24h);
+    CHECK(ageOf(std::numeric_limits<std::int64_t>::max()) < 24h * 366);
 }
--- a/tests/PromotionDutyTest.cpp
+++ b/tests/PromotionDutyTest.cpp
@@ -30,6 +30,7 @@
     std::optional<OrderOutcome> orderOutcome_ { OrderOutcome::Accepted };
     std::uint64_t fence_ { 0 };
     bool grants_ { true };
+    std::optional<PromotionGate> gate_; ///< Set where the authority checks no fences.
 
     explicit World(std::size_t synchronous = 0)
     {
@@ -76,6 +77,8 @@
                 handleResult(duty_,
                     SurveyResult { stepDown->endpoint_, stopsAt_.value_or(positions_.at(stepDown->endpoint_)), 1 });
         } else if (const auto* grant = std::get_if<GrantAction>(&action)) {
+            if (gate_)
+                gate_->granted_[group] = grant->endpoint_;
             handleResult(duty_, GrantResult { grant->group_, grants_ ? std::optional(++fence_) : std::nullopt });
         } else if (const auto* order = std::get_if<OrderAction>(&action)) {
             orders_.push_back(*order);
@@ -88,7 +91,7 @@
     void run(Duration time, Duration step = 10ms)
     {
         for (const auto end = now_ + time; now_ < end; now_ += step) {
-            for (const auto& action : tickDuty(duty_, registry_, catalog_, options_, now_))
+            for (const auto& action : tickDuty(duty_, registry_, catalog_, options_, now_, gate_ ? &*gate_ : nullptr))
                 answer(action);
         }
     }
@@ -379,3 +382,78 @@
     CHECK(world.duty_.groups_.at(group).phase_ == PromotionPhase::Watching);
     CHECK(world.all_.empty());
 }
+
+// Guards against a second primary: the authority does not stop the old one, so nobody may use it any more.
+TEST_CASE("without fences a promotion waits until the leases on the old primary have ended")
+{
+    World world;
+    world.gate_ = PromotionGate { .mayOrder_ = true };
+    const auto leases = [&] { return usablePrimaries(world.duty_, world.registry_, world.catalog_, *world.gate_); };
+    world.run(100ms);
+    CHECK(leases() == std::vector { PrimaryLease { group, EndpointId("i1") } });
+    world.loseThePrimary(1s);
+    CHECK(leases().empty());
+    CHECK(world.orders_.empty());
+    CHECK(world.duty_.groups_.at(group).phase_ == PromotionPhase::EndingLeases);
+    world.gate_->endedLeases_.insert(group);
+    world.gate_->mayOrder_ = false; // Another leader may still order.
+    world.run(100ms);
+    CHECK(world.orders_.empty());
+    world.gate_->mayOrder_ = true;
+    world.run(100ms);
+    REQUIRE(world.orders_.size() == 1);
+    world.report("i3", EndpointRole::Primary);
+    world.run(50ms);
+    CHECK(leases() == std::vector { PrimaryLease { group, EndpointId("i3") } });
+}
+
+TEST_CASE("a primary that has stepped down itself needs no end of leases")
+{
+    World world;
+    world.gate_ = PromotionGate { .mayOrder_ = true };
+    world.report("i1", EndpointRole::Primary, true);
+    world.positions_[EndpointId("i3")] = { 1, 100 };
+    world.run(1s);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i3"));
+}
+
+// Guards against an order that is executed after one for another endpoint, and takes the lead from it.
+TEST_CASE("without fences no other endpoint is ordered while an order may be executed late")
+{
+    World world;
+    world.gate_ = PromotionGate { .mayOrder_ = true, .endedLeases_ = { group } };
+    world.orderOutcome_ = OrderOutcome::Unknown;
+    world.loseThePrimary(1s);
+    REQUIRE_FALSE(world.orders_.empty());
+    const auto target = world.orders_[0].endpoint_;
+    world.dark_.insert(target);
+    world.orderOutcome_ = OrderOutcome::Refused; // It is not running now, and may run when the first order is executed.
+    const auto unanswered = world.orders_.size();
+    world.loseThePrimary(2s);
+    world.report("i2", EndpointRole::Replica);
+    world.loseThePrimary(world.options_.lateOrderTimeout_ - 3500ms);
+    for (const auto& order : world.orders_)
+        CHECK(order.endpoint_ == target);
+    CHECK(world.orders_.size() > unanswered);
+    world.report("i2", EndpointRole::Replica);
+    world.loseThePrimary(3s);
+    CHECK(world.orders_.back().endpoint_ != target);
+}
+
+// Guards against a lease on a primary whose successor an earlier leader has already ordered.
+TEST_CASE("a new leader completes the promotion that an earlier one was granted")
+{
+    World world;
+    beginDuty(world.duty_, world.now_);
+    world.gate_
+        = PromotionGate { .mayOrder_ = false, .endedLeases_ = { group }, .granted_ = { { group, EndpointId("i2") } } };
+    world.run(300ms);
+    CHECK(usablePrimaries(world.duty_, world.registry_, world.catalog_, *world.gate_).empty());
+    CHECK(world.orders_.empty());
+    world.gate_->mayOrder_ = true;
+    world.run(300ms);
+    REQUIRE(world.orders_.size() == 1);
+    CHECK(world.orders_[0].endpoint_ == EndpointId("i2"));
+    CHECK(world.duty_.groups_.at(group).cause_ == PromotionCause::Unfinished);
+}
--- a/tests/integration/DutyRunnerTest.cpp
+++ b/tests/integration/DutyRunnerTest.cpp
@@ -41,7 +41,7 @@
     EventLoop loop;
     std::optional<EndpointId> target;
     DutyRunner runner(
-        loop, { "holder", InstanceId("core-1"), "127.0.0.1:9", {} }, registry, [&](const GrantChange& grant) {
+        loop, { "holder", InstanceId("core-1"), "127.0.0.1:9", {} }, registry, nullptr, [&](const GrantChange& grant) {
             target = grant.endpoint_;
             loop.stop();
         });
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -435,7 +435,7 @@
     const auto client = harness.client("verdicts");
     REQUIRE(isDone(client->query("WRITE item a")));
     std::atomic<int> suspicions { 0 };
-    harness.onGateway([&](StatementGateway& gateway) { gateway.setSuspicionHandler([&] { ++suspicions; }); });
+    harness.onGateway([&](StatementGateway& gateway) { gateway.setReportHandler([&] { ++suspicions; }); });
     harness.server(0).faults().dark_ = true;
     client->send("QUERY dark1 READ item\r\n");
     REQUIRE(waitFor([&] { return suspicions > 0; }, 700ms));
@@ -448,5 +448,51 @@
     harness.announce();
     CHECK(client->receive(2s).mark_ != '?');
     CHECK(waitFor([&] { return isDone(client->query("READ item")); }, 3s));
-    harness.onGateway([](StatementGateway& gateway) { gateway.setSuspicionHandler({}); });
+    harness.onGateway([](StatementGateway& gateway) { gateway.setReportHandler({}); });
+}
+
+// Guards against a commit that a primary with a successor has accepted: where the platform checks no fences, the old
+// primary goes on.
+TEST_CASE("a commit whose lease ended before its answer is in doubt, and a later one is not sent")
+{
+    GatewayHarness harness({ .needsLeases_ = true });
+    const EndpointId primary("i-1");
+    harness.lease(primary);
+    const auto client = harness.client("receipts");
+    REQUIRE(waitFor([&] { return isDone(client->query("WRITE item 1")); }));
+    REQUIRE(isDone(client->query("BEGIN")));
+    REQUIRE(isDone(client->query("WRITE item 2")));
+    harness.lease({});
+    CHECK(client->query("COMMIT").error_ == "BUSY");
+    CHECK(harness.counted(Reason::PrimaryNotLeased) == 1);
+    CHECK(harness.runsOf(client->id()) == 0);
+
+    harness.lease(primary);
+    harness.server(0).faults().delayMs_ = 300;
+    client->send("QUERY 77 WRITE item 3\r\n");
+    REQUIRE(waitFor([&] { return harness.runsOf("77") == 1; }));
+    harness.lease({});
+    CHECK(client->receive().error_ == "INDOUBT");
+    CHECK(harness.counted(Reason::LeaseEnded) == 1);
+
+    const auto refused = client->query("WRITE item 4");
+    CHECK(refused.error_ == "BUSY");
+    CHECK(harness.runsOf(client->id()) == 0);
+    CHECK(harness.counted(Reason::PrimaryNotLeased) == 2);
+}
+
+// Guards against reads that miss acknowledged commits: a primary with a successor also accepts a begin.
+TEST_CASE("without a lease no read runs at a primary, and no position of it is a floor")
+{
+    GatewayHarness harness({ .needsLeases_ = true });
+    const auto verdicts = harness.client("verdicts");
+    CHECK(verdicts->query("READ item").error_ == "BUSY");
+    CHECK(harness.runsOf(verdicts->id()) == 0);
+    const auto audits = harness.client("audits");
+    CHECK(audits->query("READ item").error_ == "BUSY");
+    harness.lease(EndpointId("i-1"), leaseDuration - 400ms);
+    CHECK(waitFor([&] { return isDone(verdicts->query("READ item")); }));
+    // Not renewed, it ends by itself.
+    std::this_thread::sleep_for(450ms);
+    CHECK(verdicts->query("READ item").error_ == "BUSY");
 }
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -157,3 +157,53 @@
     CHECK(entry.process_->exitStatus() == 0);
     CHECK(deployment.group().commits().back().items_.count("item") == 1);
 }
+
+// Guards against two primaries at once: part of the instances and all control members lose the primary, the others go
+// on with it, and the authority does not stop it when it promotes another one.
+TEST_CASE("no commit is acknowledged by a primary that has a successor, where the authority checks no fences")
+{
+    NodeDeployment deployment(3, 2, false);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 10s));
+    REQUIRE(writesWithin(deployment, 1, "receipts", 5s));
+
+    // Callers on both sides write all the time.
+    std::atomic<bool> ending { false };
+    std::vector<std::vector<std::string>> acknowledged(2);
+    std::vector<std::thread> callers;
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+        callers.emplace_back([&, entry] {
+            while (!ending) {
+                LineClient client(deployment.entries()[entry].address_);
+                if (client.start("receipts").mark_ != 'I')
+                    continue;
+                while (!ending && isDone(client.query("WRITE item x")))
+                    acknowledged[entry].push_back(client.id());
+            }
+        });
+    }
+    const EndpointId old("i-1");
+    deployment.group().isolate(old);
+    for (const auto* caller : { "core-1", "core-2", "core-3", "front-2" })
+        deployment.server(0).cutFrom(caller);
+    // A change of primary is over within 16 s at the target sizes.
+    CHECK(waitFor([&] { return !deployment.group().leadsNewestTerm(old); }, 16s));
+    CHECK(writesWithin(deployment, 0, "receipts", 16s));
+    CHECK(writesWithin(deployment, 1, "receipts", 16s));
+    std::this_thread::sleep_for(1s);
+    ending = true;
+    for (auto& caller : callers)
+        caller.join();
+
+    REQUIRE_FALSE(acknowledged[0].empty());
+    std::set<std::string> kept;
+    for (const auto& commit : deployment.group().commits())
+        kept.insert(commit.query_);
+    for (const auto& commit : deployment.group().commitsAfterPromotion(old)) {
+        for (const auto& ids : acknowledged)
+            CHECK(std::find(ids.begin(), ids.end(), commit.query_) == ids.end());
+    }
+    for (const auto& ids : acknowledged)
+        CHECK(kept.contains(ids.back()));
+}
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -155,7 +155,7 @@
 GatewayHarness::GatewayHarness(Options options)
     : group_("returns", endpointNames())
     , calls_(100, [this] { loop_.wake(); })
-    , gateway_(loop_, metrics_, { "front-1", DataCentre("a") })
+    , gateway_(loop_, metrics_, { "front-1", DataCentre("a"), options.needsLeases_ })
     , address_(loopbackAddress(freePort()))
 {
     for (const auto& id : endpointNames())
@@ -189,6 +189,16 @@
         std::this_thread::sleep_for(1ms);
 }
 
+void GatewayHarness::lease(const EndpointId& primary, Duration age)
+{
+    onGateway([&](StatementGateway& gateway) {
+        LeaseTable table { { 1, ++leaseNumber_ }, {} };
+        if (!primary.empty())
+            table.leases_.push_back({ GroupId(group_.name()), primary });
+        gateway.receiveLeases({ table.version_, age, table }, suspendAwareNow());
+    });
+}
+
 std::vector<RegisteredEndpoint> GatewayHarness::records()
 {
     std::vector<RegisteredEndpoint> records;
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -58,6 +58,7 @@
         std::chrono::milliseconds statementTimeout_ { 800 };
         std::chrono::milliseconds idleTransaction_ { 3000 };
         std::chrono::milliseconds maxAge_ { 2500 };
+        bool needsLeases_ { false };
     };
 
     GatewayHarness();
@@ -75,6 +76,9 @@
     void onGateway(const std::function<void(StatementGateway&)>&);
     /// Tells the gateway who leads, as control members would.
     void announce();
+    /// Gives the gateway a lease on a primary, or withdraws it when the endpoint is empty. With `age`, it was proven
+    /// that long ago.
+    void lease(const EndpointId&, Duration age = Duration::zero());
     /// Ids of a client's statement that ran, over all databases.
     std::size_t runsOf(const std::string& id) const;
     std::uint64_t counted(Reason);
@@ -92,6 +96,7 @@
     standin::LineGroup group_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
     std::uint64_t sequence_ { 1 };
+    std::uint64_t leaseNumber_ { 0 };
     EventLoop loop_;
     Metrics metrics_;
     Mailbox<Call> calls_;
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -61,8 +61,9 @@
     return result;
 }
 
-NodeDeployment::NodeDeployment(std::size_t controls, std::size_t entries)
-    : authority_(loopbackAddress(freePort()))
+NodeDeployment::NodeDeployment(std::size_t controls, std::size_t entries, bool checksFences)
+    : checksFences_(checksFences)
+    , authority_(loopbackAddress(freePort()))
     , dark_(3)
     , leaving_(3)
 {
@@ -108,7 +109,7 @@
                             << node.host_ << ":" << peerPort << "\"}\nseeds: [" << seeds
                             << "]\ndeployment_key: integration-deployment-key\nauthority: \"" << authority_
                             << "\"\nheartbeat_ms: 200\nshutdown_ms: 4000\n"
-                            << more;
+                            << (checksFences_ ? "" : "authority_checks_fences: false\n") << more;
         node.process_ = std::make_unique<ChildProcess>(CASSIAHOLLOW_PROGRAM,
             std::vector<std::string> { "node", "--config=" + file.string() }, folder_.path() / (name + ".log"));
     };
@@ -175,11 +176,11 @@
             continue;
         const auto body = json::parse(request.body());
         const auto fence = std::stoull(std::string(request["X-Fencing-Token"]));
-        const bool accepted = fence >= highest && request.target() == "/promote";
+        const bool accepted = (fence >= highest || !checksFences_) && request.target() == "/promote";
         if (accepted) {
             highest = fence;
             const auto endpoint = body.at("Id").get<std::string>();
-            if (!group_->isPrimary(EndpointId(endpoint)))
+            if (!group_->leadsNewestTerm(EndpointId(endpoint)))
                 group_->promote(EndpointId(endpoint));
             const std::lock_guard lock(mutex_);
             promotions_.push_back({ endpoint, std::string(request["X-Lease-Holder"]), fence });
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -39,7 +39,8 @@
         std::uint64_t fence_ { 0 };
     };
 
-    NodeDeployment(std::size_t controls, std::size_t entries);
+    /// Without fences, the authority accepts any order.
+    NodeDeployment(std::size_t controls, std::size_t entries, bool checksFences = true);
     ~NodeDeployment();
     NodeDeployment(const NodeDeployment&) = delete;
     NodeDeployment& operator=(const NodeDeployment&) = delete;
@@ -64,6 +65,7 @@
     void report();
     void serveAuthority();
 
+    const bool checksFences_;
     TemporaryFolder folder_;
     std::unique_ptr<standin::LineGroup> group_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
