--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -215,6 +215,7 @@
     , address_(std::move(address))
     , maxConnections_(maxConnections)
     , accept_(std::move(accept))
+    , vhostName_("line-listener-" + address_)
     , protocol_(loop.addProtocol(serverProtocol, &LineListener::callback, this))
 {
 }
@@ -227,7 +228,7 @@
     info.port = address.second;
     info.iface = host_.c_str();
     info.protocols = protocol_.protocols_;
-    info.vhost_name = "line-listener";
+    info.vhost_name = vhostName_.c_str();
     info.listen_accept_role = "raw-skt";
     info.listen_accept_protocol = serverProtocol;
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -108,6 +108,7 @@
     const std::size_t maxConnections_;
     const Accept accept_;
     std::string host_;
+    const std::string vhostName_;
     std::size_t openConnections_ { 0 };
     EventLoop::ProtocolSlot& protocol_;
     lws_vhost* vhost_ { nullptr };
--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -371,6 +371,8 @@
     instance.takesRequests_ = request.takesRequests_;
     instance.registryMark_ = request.registryVersion_;
     instance.catalogVersion_ = request.catalogVersion_;
+    instance.dataCentre_ = request.dataCentre_;
+    instance.neighboursMark_ = request.neighboursMark_;
     if (request.missesResponses_)
         peers_.reconnect(sender.value_);
     auto answer = feedFor(sender, instance);
@@ -397,6 +399,7 @@
     auto& member = members_[sender];
     member.heard_ = now;
     member.instances_ = update.instances_;
+    member.dataCentres_ = update.dataCentres_;
     if (update.recipientSilent_ && now - member.reconnected_ > memberSilence) {
         member.reconnected_ = now;
         peers_.reconnect(sender.value_);
@@ -552,7 +555,8 @@
     std::optional<RegisteredEndpoint> record;
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
-            BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat(id, body, Clock::now()));
+            BOOST_LEAF_ASSIGN(
+                record, platform::decodeHeartbeat(id, body, Clock::now()));
             return {};
         },
         [this](const Failure& failure) {
@@ -637,19 +641,58 @@
     return { members.begin(), members.end() };
 }
 
-std::vector<InstanceId> ControlHost::entryInstances() const
+ControlHost::EntryInstances ControlHost::findEntryInstances() const
 {
-    std::set<InstanceId> all;
+    EntryInstances all;
     const auto now = Clock::now();
+    std::set<InstanceId> stopping;
     for (const auto& [id, instance] : instances_) {
-        if (instance.takesRequests_ && now - instance.asked_ < instanceLifetime)
-            all.insert(id);
+        if (now - instance.asked_ >= instanceLifetime)
+            continue;
+        if (instance.takesRequests_)
+            all.emplace(id, instance.dataCentre_);
+        else
+            stopping.insert(id);
     }
     for (const auto& [id, member] : members_) {
-        if (now - member.heard_ < instanceLifetime)
-            all.insert(member.instances_.begin(), member.instances_.end());
+        if (now - member.heard_ >= instanceLifetime)
+            continue;
+        for (std::size_t i = 0; i < member.instances_.size(); ++i) {
+            const auto dataCentre = i < member.dataCentres_.size() ? member.dataCentres_[i] : DataCentre();
+            if (!stopping.contains(member.instances_[i]))
+                all.emplace(member.instances_[i], dataCentre);
+        }
+    }
+    return all;
+}
+
+RegistryUpdate ControlHost::updateWith(std::vector<RegisteredEndpoint> records) const
+{
+    RegistryUpdate update { std::move(records), false, false, {}, {} };
+    for (const auto& [id, dataCentre] : entryInstances()) {
+        update.instances_.push_back(id);
+        update.dataCentres_.push_back(dataCentre);
+    }
+    return update;
+}
+
+// Tells an instance who else serves its data centre, if that has changed.
+void ControlHost::addNeighbours(FeedResponse& answer, const EntryInstances& all, const EntryInstance& instance)
+{
+    std::set<DataCentre> dataCentres;
+    std::vector<InstanceId> neighbours;
+    std::string key;
+    for (const auto& [id, dataCentre] : all) {
+        dataCentres.insert(dataCentre);
+        if (dataCentre != instance.dataCentre_)
+            continue;
+        neighbours.push_back(id);
+        key.append(id.value_).push_back('\n');
     }
-    return { all.begin(), all.end() };
+    answer.dataCentres_ = dataCentres.size();
+    answer.neighboursMark_ = XXH3_64bits(key.data(), key.size());
+    if (answer.neighboursMark_ != instance.neighboursMark_)
+        answer.neighbours_ = std::move(neighbours);
 }
 
 // Answers the load pattern "all machines start at once": the first instances that ask must not take the connections of
@@ -666,7 +709,7 @@
 
 void ControlHost::spread(std::vector<RegisteredEndpoint> records)
 {
-    const RegistryUpdate update { std::move(records), false, false, entryInstances() };
+    const auto update = updateWith(std::move(records));
     for (const auto& member : otherMembers())
         sendDirectory(member, update);
 }
@@ -701,10 +744,11 @@
     answer.leader_ = status_.leader_;
     for (const auto& member : status_.members_)
         answer.members_.push_back(member.instance_);
-    const auto all = entryInstances();
+    const auto& all = entryInstances();
     answer.samples_ = sampler_.samples();
     answer.instances_ = expectedInstances(all.size());
-    answer.rank_ = static_cast<std::size_t>(std::lower_bound(all.begin(), all.end(), id) - all.begin());
+    answer.rank_ = static_cast<std::size_t>(std::distance(all.begin(), all.lower_bound(id)));
+    addNeighbours(answer, all, instance);
     return answer;
 }
 
@@ -728,6 +772,7 @@
         const auto answer = feedFor(id, instance);
         sendDirectory(id, answer);
         instance.registryMark_ = answer.registryVersion_;
+        instance.neighboursMark_ = answer.neighboursMark_;
         instance.catalogVersion_ = std::max(instance.catalogVersion_, answer.catalogVersion_);
     }
 }
@@ -743,9 +788,10 @@
         return true;
     });
     std::erase_if(instances_, [&](const auto& item) { return now - item.second.asked_ > registryLifetime; });
+    entryInstances_ = findEntryInstances();
     if (now >= nextSpread_) {
         nextSpread_ = now + spreadInterval;
-        RegistryUpdate update { {}, false, false, entryInstances() };
+        auto update = updateWith({});
         for (const auto& [id, record] : registry_.records_)
             update.records_.push_back(record);
         for (const auto& id : otherMembers()) {
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -74,6 +74,8 @@
         std::string registryMark_;
         std::uint64_t catalogVersion_ { 0 };
         bool takesRequests_ { true };
+        DataCentre dataCentre_;
+        std::uint64_t neighboursMark_ { 0 };
         TimePoint pushed_;
         bool isPushDue_ { false };
     };
@@ -81,7 +83,9 @@
         TimePoint heard_;
         TimePoint reconnected_;
         std::vector<InstanceId> instances_; ///< Entry instances that asked it lately.
+        std::vector<DataCentre> dataCentres_; ///< Of these instances.
     };
+    using EntryInstances = std::map<InstanceId, DataCentre>;
 
     void startControl();
     /// Asks to be removed from the voters, so that the others tolerate losses while this member is away.
@@ -124,7 +128,11 @@
     std::vector<InstanceId> heardMembers() const;
     bool inContact() const;
     std::vector<InstanceId> otherMembers() const;
-    std::vector<InstanceId> entryInstances() const;
+    /// Entry instances that asked any member lately. An empty data centre is not known.
+    const EntryInstances& entryInstances() const { return entryInstances_; }
+    EntryInstances findEntryInstances() const;
+    RegistryUpdate updateWith(std::vector<RegisteredEndpoint>) const;
+    static void addNeighbours(FeedResponse&, const EntryInstances&, const EntryInstance&);
     std::size_t expectedInstances(std::size_t asked) const;
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
     void spread(std::vector<RegisteredEndpoint>);
@@ -163,6 +171,7 @@
     std::uint64_t nextToken_ { 1 };
     std::map<InstanceId, EntryInstance> instances_;
     std::map<InstanceId, Member> members_;
+    EntryInstances entryInstances_; ///< As of the last tick.
     TimePoint nextSpread_;
     std::size_t instancesBefore_ { 0 }; ///< Entry instances before the start of this process.
     TimePoint started_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -35,6 +35,21 @@
     // The time in which the platform takes an instance out of rotation that is not ready.
     constexpr auto rotationTime = 2s;
 
+    // Forwards of other instances at once; each has one connection.
+    constexpr std::size_t maximumPeers = 2000;
+
+    StatementGateway::Options gatewayOptions(const NodeSettings& settings, Incarnation incarnation)
+    {
+        StatementGateway::Options options { settings.name_, settings.dataCentre_, !settings.authorityChecksFences_ };
+        if (settings.forward_.empty())
+            return options;
+        options.self_ = InstanceId(settings.peers_);
+        options.incarnation_ = incarnation;
+        options.forwardPort_ = settings.forward_.substr(settings.forward_.rfind(':'));
+        options.deploymentKey_ = settings.deploymentKey_;
+        return options;
+    }
+
 } // namespace
 
 GatewayTask::GatewayTask(NodeSettings settings, Incarnation incarnation)
@@ -44,7 +59,7 @@
           { InstanceId(settings_.peers_), incarnation, settings_.peers_, settings_.deploymentKey_ },
           [this](PeerMessage message) { mailbox_.post(std::move(message)); },
           [this](Reason reason) { metrics_.count(reason); })
-    , gateway_(loop_, metrics_, { settings_.name_, settings_.dataCentre_, !settings_.authorityChecksFences_ })
+    , gateway_(loop_, metrics_, gatewayOptions(settings_, incarnation))
     , clients_(loop_, settings_.statements_,
           settings_.maximumFiles_ > 2 * reservedFiles ? settings_.maximumFiles_ - reservedFiles
                                                       : settings_.maximumFiles_ / 2,
@@ -76,6 +91,11 @@
         BOOST_LEAF_CHECK(metricsListener_->start());
     }
     BOOST_LEAF_CHECK(clients_.start());
+    if (!settings_.forward_.empty()) {
+        forwards_ = std::make_unique<LineListener>(loop_, settings_.forward_, maximumPeers,
+            [this](const LineChannelPtr& channel) { gateway_.acceptPeer(channel); });
+        BOOST_LEAF_CHECK(forwards_->start());
+    }
     ask();
     updateReadiness();
     LogLine(LogKind::Lifecycle, "started").with("role", "entry").with("peers", settings_.peers_);
@@ -172,6 +192,10 @@
     }
     if (answer.instances_ > 0)
         gateway_.setShare(answer.instances_, answer.rank_);
+    if (answer.neighbours_) {
+        gateway_.setNeighbours(*answer.neighbours_, answer.dataCentres_);
+        neighboursMark_ = answer.neighboursMark_;
+    }
     if (answer.records_) {
         gateway_.setEndpoints(*answer.records_);
         registryMark_ = answer.registryVersion_;
@@ -194,6 +218,8 @@
     metrics_.setGauge("applied_catalog_version", static_cast<double>(gateway_.catalogVersion()));
     metrics_.setGauge("control_confirmed_age_seconds", selection_.isConfirmed_ ? sinceConfirmed : -1);
     metrics_.setGauge("client_sessions", static_cast<double>(gateway_.sessions()));
+    metrics_.setGauge("held_groups", static_cast<double>(gateway_.heldGroups()));
+    metrics_.setGauge("forwarded_statements", static_cast<double>(gateway_.forwardedStatements()));
     metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
     connection->reply({ 200, metrics_.render(), "text/plain" });
 }
@@ -249,6 +275,8 @@
     request.missesResponses_ = selection_.unanswered_ > 0;
     request.reports_ = gateway_.reports();
     request.leaseVersion_ = gateway_.leaseVersion();
+    request.dataCentre_ = settings_.dataCentre_;
+    request.neighboursMark_ = neighboursMark_;
     const auto now = suspendAwareNow();
     askedAt_.emplace(number_, now);
     if (askedAt_.size() > maximumOpenRequests)
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -62,6 +62,7 @@
     PeerTask peers_;
     StatementGateway gateway_;
     LineListener clients_;
+    std::unique_ptr<LineListener> forwards_; ///< Statements of other entry instances.
     std::unique_ptr<HttpListener> readinessListener_;
     std::unique_ptr<HttpListener> metricsListener_;
 
@@ -71,6 +72,7 @@
     std::map<std::uint64_t, TimePoint> askedAt_; ///< Of the latest requests to the selected member.
     bool reportDue_ { false }; ///< A question with fresh reports is scheduled.
     std::string registryMark_;
+    std::uint64_t neighboursMark_ { 0 };
     bool shuttingDown_ { false };
     Readiness readiness_ { Readiness::Starting };
     TimePoint readinessSince_;
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -31,6 +31,7 @@
         readOptionalAddress(reader, "readiness", settings.readiness_);
         readOptionalAddress(reader, "operators", settings.operators_);
         readOptionalAddress(reader, "metrics", settings.metrics_);
+        readOptionalAddress(reader, "forward", settings.forward_);
         reader.readAddress("peers", settings.peers_);
         reader.refuseUnknownKeys();
     }
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -18,6 +18,7 @@
     std::string metrics_; ///< Where metrics are read, ip:port, or empty.
     std::string peers_; ///< Where other instances connect, ip:port. Also the id among them.
     std::vector<std::string> seeds_; ///< Addresses of control members' operators listeners, ip:port.
+    std::string forward_; ///< Where other entry instances send statements, ip:port, or empty.
     std::string deploymentKey_;
     std::string dataFolder_; ///< Empty on an entry instance.
     bool mayFound_ { false }; ///< The deployment starts for the first time, with empty disks.
--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -82,24 +82,34 @@
     if (keeps && !mayUseAsPrimary(job->group_, link->endpoint()))
         return answerInDoubt(job, link, reply);
     jobDone(job);
+    if (job->kind_ == StatementKind::Commit)
+        release(session, reply.mark_ != platform::SessionMark::Idle);
+    else if (sql.transaction_ == TransactionState::None && !provedLead)
+        freeLink(link, reply.mark_ == platform::SessionMark::Idle);
+    if (keeps && reply.position_.term_ > 0)
+        sampled(groupOf(job->group_), { job->sent_, reply.position_ });
+    completeStatement(job, reply);
+}
+
+// Tells the client that its statement has run, and goes on with what it has sent since.
+void StatementGateway::completeStatement(const JobPtr& job, const EndpointReply& reply)
+{
+    const auto& session = job->session_;
+    auto& sql = session->sql_;
     const bool wrote = job->kind_ == StatementKind::Write && sql.transaction_ == TransactionState::None;
     const bool committed = job->kind_ == StatementKind::Commit;
-    if (committed) {
-        release(session, reply.mark_ != platform::SessionMark::Idle);
+    if (committed)
         sql.transaction_ = TransactionState::None;
-    } else if (sql.transaction_ == TransactionState::None && !provedLead) {
-        freeLink(link, reply.mark_ == platform::SessionMark::Idle);
-    }
     if ((wrote || (committed && session->wrote_)) && reply.position_.term_ > 0) {
         sql.ownCommit_ = { reply.position_, suspendAwareNow() };
-        sampled(groupOf(job->group_), { job->sent_, reply.position_ });
         metrics_.add(CounterId::Writes);
     }
     metrics_.record(HistogramId::RequestTime, suspendAwareNow() - job->arrived_);
     session->busy_ = false;
     answer(session, reply);
     finishOperation(session);
-    session->channel_->offer();
+    if (session->channel_)
+        session->channel_->offer();
 }
 
 // The endpoint has committed, but the lease on it ended meanwhile: it may have had a successor, and the commit is lost
@@ -129,7 +139,8 @@
     session->busy_ = false;
     refuse(session, error, text);
     finishOperation(session);
-    session->channel_->offer();
+    if (session->channel_)
+        session->channel_->offer();
 }
 
 void StatementGateway::learn(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply& reply)
@@ -275,6 +286,8 @@
 {
     if (job->isDone_)
         return;
+    if (!job->forwards_.empty())
+        return forwardTimedOut(job);
     if (!job->link_) {
         refuseJob(job, Reason::DeadlinePassed);
         return;
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -21,6 +21,8 @@
     constexpr auto leavingPrimaryTime = 4s;
     // A connection beyond the first that rested for this long is closed.
     constexpr auto spareLinkTime = 800ms;
+    // A holder keeps its connections longer: nobody else needs them, and each new one takes slot time of the endpoint.
+    constexpr auto heldLinkTime = 10000ms;
     // A connection whose answer is overdue is closed this long after its last use: the instance's own statements have
     // no time limit of a route.
     constexpr auto answerGrace = 500ms;
@@ -150,6 +152,7 @@
             configure(*queue, std::move(settings));
         }
     }
+    updateHolders();
 }
 
 void StatementGateway::addSample(const GroupId& id, const PositionSample& sample)
@@ -175,10 +178,32 @@
     return replicas.empty() ? nullptr : replicas[preferredReplica(rank_, replicas.size())];
 }
 
+// Whether this instance shares the connections to the group's endpoints with more instances than they accept.
+bool StatementGateway::lacksConnections(const Group& group) const
+{
+    return isScarceFor(group.id_) && !group.isHeld_;
+}
+
+// Whether other instances hold the connections to the group, and this one only stands in for them.
+bool StatementGateway::usesHolders(const Group& group) const
+{
+    return !options_.self_.empty() && lacksConnections(group);
+}
+
+std::size_t StatementGateway::connectionShareOf(const Group& group, const GroupRules& rules) const
+{
+    if (!areConnectionsScarce(rules.connectionLimit_, instances_) || group.holders_.empty())
+        return connectionShare(rules.connectionLimit_, instances_, rank_);
+    return group.isHeld_ ? assignment_.connectionsPerHolder_ : scarceConnectionShare;
+}
+
 void StatementGateway::setShare(std::size_t instances, std::size_t rank)
 {
+    const bool isChanged = instances_ != std::max<std::size_t>(instances, 1);
     instances_ = std::max<std::size_t>(instances, 1);
     rank_ = rank;
+    if (isChanged)
+        updateHolders();
 }
 
 void StatementGateway::setEndpoints(const std::vector<RegisteredEndpoint>& records)
@@ -272,7 +297,7 @@
     const auto now = suspendAwareNow();
     const auto& id = endpoint.record_.id_;
     const auto* rules = catalog_ ? findGroup(*catalog_, endpoint.record_.group_) : nullptr;
-    const auto share = connectionShare(rules ? rules->connectionLimit_ : 1, instances_, rank_);
+    const auto share = rules ? connectionShareOf(groupOf(rules->group_), *rules) : 1;
     const auto pause = std::min<Duration>(openPause * (1 << std::min(endpoint.openFailures_, 6)), longestOpenPause);
     const bool mustWait = endpoint.openFailures_ > 0 && now - endpoint.openFailed_ < pause;
     if (!rules || endpoint.isOpening() || endpoint.links_.size() >= share || now < endpoint.load_.connectionLimitUntil_
@@ -299,14 +324,16 @@
     if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
     const bool wantsReads = group.readQueue_.waiting_ > 0;
-    const bool scarce = isScarceFor(group.id_);
+    const bool scarce = lacksConnections(group);
     const auto* kept = scarce ? preferred(group) : nullptr;
     for (auto& [id, endpoint] : endpoints_) {
         if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint))
             continue;
-        // Each endpoint gets its first connection early, so that reads find a choice.
+        // Each endpoint gets its first connection early, so that reads find a choice; not from instances that only
+        // stand in for a holder.
         const bool isOpenTo = !scarce || endpoint.get() == kept || !kept || isFailing(kept->load_);
-        const bool isFirst = endpoint->links_.empty() && isOpenTo && (!scarce || endpoint.get() != first);
+        const bool opensAhead = options_.self_.empty() || (hasSettled_ && !usesHolders(group));
+        const bool isFirst = endpoint->links_.empty() && isOpenTo && opensAhead && (!scarce || endpoint.get() != first);
         if (isFirst || (wantsReads && isOpenTo && wantsLink(*endpoint) && endpoint.get() != first))
             openLink(*endpoint);
     }
@@ -377,7 +404,7 @@
 // While connections are scarce, control members sample for all: an instance that has just started waits for them.
 bool StatementGateway::awaitsSharedSample(const Group& group) const
 {
-    return isScarceFor(group.id_) && suspendAwareNow() - group.known_ < sharedSampleTime;
+    return isScarceFor(group.id_) && !group.isHeld_ && suspendAwareNow() - group.known_ < sharedSampleTime;
 }
 
 EndpointLinkPtr StatementGateway::restingLink(const Endpoint& endpoint)
@@ -392,11 +419,12 @@
 const StatementGateway::Endpoint* StatementGateway::witness(const Group& group) const
 {
     const auto* first = primary(group);
-    return first && first->links_.empty() && isScarceFor(group.id_) ? preferred(group) : first;
+    return first && first->links_.empty() && lacksConnections(group) ? preferred(group) : first;
 }
 
 void StatementGateway::probeEndpoints()
 {
+    probeHolders();
     const auto now = suspendAwareNow();
     for (const auto& [id, group] : groups_) {
         const auto* known = witness(*group);
@@ -466,12 +494,21 @@
     return static_cast<std::size_t>(
         std::count_if(catalog_->groups_.begin(), catalog_->groups_.end(), [this](const GroupRules& rules) {
             const auto group = groups_.find(rules.group_);
-            const auto* first = group == groups_.end() ? nullptr : primary(*group->second);
-            const auto* asked = first ? witness(*group->second) : nullptr;
-            return !first || isFailing(first->load_) || (asked && isFailing(asked->load_));
+            return group == groups_.end() || isPrimaryUnreachable(*group->second);
         }));
 }
 
+bool StatementGateway::isPrimaryUnreachable(const Group& group) const
+{
+    const auto* first = primary(group);
+    if (!first)
+        return true;
+    if (usesHolders(group) && first->links_.empty())
+        return group.isUnreachableAtHolder_;
+    const auto* asked = witness(group);
+    return isFailing(first->load_) || (asked && isFailing(asked->load_));
+}
+
 void StatementGateway::setIsolated(bool isolated, bool sendAway)
 {
     isolated_ = isolated;
@@ -492,11 +529,13 @@
         std::erase_if(links, [](const EndpointLinkPtr& link) { return link->isClosed(); });
         // An endpoint that leaves gets no statements any more and needs no connection.
         const auto& group = groupOf(endpoint->record_.group_);
-        const bool isKept = isUsable(*endpoint) && (!isScarceFor(group.id_) || endpoint.get() == preferred(group));
+        const bool isKept = isUsable(*endpoint) && !usesHolders(group)
+            && (!lacksConnections(group) || endpoint.get() == preferred(group));
         const std::size_t kept = isKept ? 1 : 0;
+        const auto rest = group.isHeld_ ? heldLinkTime : spareLinkTime;
         for (std::size_t i = links.size(); i > kept; --i) {
             const auto link = links[i - 1];
-            if (!link->isReady() || link->taken_ || now - link->used_ < spareLinkTime)
+            if (!link->isReady() || link->taken_ || now - link->used_ < rest)
                 continue;
             link->close();
             links.erase(links.begin() + static_cast<std::ptrdiff_t>(i - 1));
--- /dev/null
+++ b/daemon/request/GatewayPeers.cpp
@@ -0,0 +1,177 @@
+#include "cassiahollow/process/PeerMessage.h"
+#include "process/EventLog.h"
+#include "request/GatewayState.h"
+
+// Statements of other instances' clients, which run here because this instance holds the connections to their group.
+namespace cassiahollow {
+
+namespace {
+
+    // Operations of one peer at once; far more than its clients have.
+    constexpr std::size_t maximumOperations = 10000;
+
+} // namespace
+
+void StatementGateway::acceptPeer(const LineChannelPtr& channel)
+{
+    const PeerPtr peer(new Peer);
+    peer->channel_ = channel;
+    peers_.insert(peer);
+    channel->setHandlers({ .opened_ = {},
+        .received_ = [this, peer](std::string_view bytes) { return receiveFromPeer(peer, bytes); },
+        .closed_ = [this, peer] { peerLost(peer); } });
+    if (shuttingDown_)
+        channel->send(encodeHolderMessage(HolderLeaving {}));
+}
+
+std::size_t StatementGateway::receiveFromPeer(const PeerPtr& peer, std::string_view bytes)
+{
+    std::size_t taken = 0;
+    const bool isValid = boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            while (peers_.contains(peer)) {
+                BOOST_LEAF_AUTO(frame, takeFrame(bytes, taken));
+                if (!frame)
+                    break;
+                if (peer->instance_.empty()) {
+                    BOOST_LEAF_AUTO(hello, decodePeerMessage(*frame, options_.deploymentKey_));
+                    peer->instance_ = hello.sender_.value_.empty() ? "unnamed" : hello.sender_.value_;
+                    continue;
+                }
+                BOOST_LEAF_AUTO(message, decodeHolderMessage(*frame));
+                std::visit([&](auto& body) { handle(peer, std::move(body)); }, message);
+            }
+            return true;
+        },
+        [&](const Failure& failure) {
+            metrics_.count(failure.reason_);
+            LogLine(LogKind::Refusal, "peer_refused")
+                .with("peer", peer->instance_)
+                .with("detail", failureMessage(failure));
+            return false;
+        },
+        [] { return false; });
+    if (!isValid)
+        closePeer(peer);
+    return taken;
+}
+
+template <typename Message> void StatementGateway::handle(const PeerPtr&, const Message&)
+{
+    metrics_.count(Reason::MessageMalformed); // Only holders send these.
+}
+
+void StatementGateway::handle(const PeerPtr& peer, StatementRequest message)
+{
+    SessionPtr session;
+    if (const auto known = peer->operations_.find(message.operation_); known != peer->operations_.end()) {
+        session = known->second;
+        if (session->busy_) {
+            metrics_.count(Reason::MessageMalformed);
+            return closePeer(peer);
+        }
+    }
+    const bool begins = message.operation_ == message.number_;
+    const bool isRefused = peer->operations_.size() >= maximumOperations;
+    if (begins == (session != nullptr) || isRefused) {
+        // A transaction that has ended here, or too many operations.
+        StatementReply reply {
+            .number_ = message.number_, .error_ = StatementError::Aborted, .errorText_ = "the transaction was ended"
+        };
+        if (begins) {
+            metrics_.count(Reason::QueueFull);
+            reply.error_ = StatementError::Overloaded;
+            reply.errorText_ = "not run, too many operations";
+        }
+        return peer->channel_->send(encodeHolderMessage(reply));
+    }
+    const auto now = suspendAwareNow();
+    if (!session) {
+        session = new Session;
+        session->peer_ = peer;
+        session->operation_ = message.operation_;
+        session->started_ = true;
+        session->sql_.database_ = message.route_.database_;
+        session->sql_.transaction_ = message.opensTransaction_ ? TransactionState::Deferred : TransactionState::None;
+        session->sql_.readOnly_ = message.readOnly_;
+        session->sql_.startedAt_ = now - message.operationAge_;
+        auto catalog = std::make_shared<RouteCatalog>();
+        catalog->version_ = message.catalogVersion_;
+        catalog->routes_ = { message.route_ };
+        catalog->idleTransaction_ = std::chrono::duration_cast<std::chrono::milliseconds>(message.idleTransaction_);
+        session->catalog_ = catalog;
+        session->route_ = &catalog->routes_.front();
+        sessions_.insert(session);
+        peer->operations_.emplace(session->operation_, session);
+    }
+    session->used_ = now;
+    session->number_ = message.number_;
+    session->sql_.values_ = std::move(message.values_);
+    session->sql_.ownCommit_ = { message.ownCommit_, now - message.ownCommitAge_ };
+    const JobPtr job(new Job);
+    job->session_ = session;
+    job->id_ = std::move(message.id_);
+    job->text_ = std::move(message.text_);
+    job->kind_ = message.kind_;
+    job->shape_ = std::move(message.shape_);
+    job->catalog_ = session->catalog_;
+    job->route_ = session->route_;
+    job->group_ = session->route_->group_;
+    job->arrived_ = now - std::min(message.age_, message.operationAge_);
+    job->ageFrom_ = now - message.operationAge_;
+    job->opensTransaction_ = session->sql_.transaction_ == TransactionState::Deferred;
+    const bool mayWrite = job->opensTransaction_ ? !session->sql_.readOnly_ : job->kind_ != StatementKind::Read;
+    job->needsPrimary_ = mayWrite || job->route_->consistency_ == Consistency::Primary;
+    session->busy_ = true;
+    session->job_ = job;
+    submit(job);
+}
+
+void StatementGateway::handle(const PeerPtr& peer, const OperationEnd& message)
+{
+    if (const auto known = peer->operations_.find(message.operation_); known != peer->operations_.end()) {
+        const auto session = known->second;
+        peer->operations_.erase(known);
+        sessionClosed(session);
+    }
+}
+
+void StatementGateway::handle(const PeerPtr& peer, const HolderProbe& message)
+{
+    const auto group = groups_.find(message.group_);
+    const bool isUnreachable = group == groups_.end() || isPrimaryUnreachable(*group->second);
+    peer->channel_->send(encodeHolderMessage(HolderProbeReply { message.group_, isUnreachable }));
+}
+
+// Replies to the statement under way; the operation ends unless its transaction is open.
+void StatementGateway::replyToPeer(const SessionPtr& session, StatementReply reply)
+{
+    const auto peer = session->peer_;
+    reply.number_ = session->number_;
+    reply.isTransactionOpen_ = session->sql_.transaction_ == TransactionState::Open;
+    reply.isPrimaryUnreachable_ = isPrimaryUnreachable(groupOf(session->route_->group_));
+    session->used_ = suspendAwareNow();
+    if (!session->closed_)
+        peer->channel_->send(encodeHolderMessage(reply));
+    if (reply.isTransactionOpen_)
+        return;
+    peer->operations_.erase(session->operation_);
+    sessionClosed(session);
+}
+
+void StatementGateway::closePeer(const PeerPtr& peer)
+{
+    peer->channel_->close();
+    peerLost(peer);
+}
+
+// What runs for the peer goes on to its end; open transactions are rolled back.
+void StatementGateway::peerLost(const PeerPtr& peer)
+{
+    if (peers_.erase(peer) == 0)
+        return;
+    for (const auto& [number, session] : std::exchange(peer->operations_, {}))
+        sessionClosed(session);
+}
+
+} // namespace cassiahollow
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -7,8 +7,39 @@
 // The state behind a StatementGateway; private to its sources.
 namespace cassiahollow {
 
-struct StatementGateway::Session : boost::intrusive_ref_counter<Session, boost::thread_unsafe_counter> {
+/// A connection to another instance that runs statements of this instance's clients.
+struct StatementGateway::Holder : boost::intrusive_ref_counter<Holder, boost::thread_unsafe_counter> {
+    InstanceId id_;
+    LineChannelPtr channel_; ///< Null while there is no connection.
+    bool isOpen_ { false };
+    bool isLeaving_ { false };
+    std::uint64_t lastNumber_ { 0 };
+    std::map<std::uint64_t, JobPtr> pending_; ///< Statements without a reply, by number.
+    TimePoint receivedAt_; ///< The last message from it.
+    TimePoint probedAt_;
+    TimePoint avoidUntil_;
+    int failures_ { 0 }; ///< In a row.
+};
+
+/// A connection from another instance, whose clients' statements run here.
+struct StatementGateway::Peer : boost::intrusive_ref_counter<Peer, boost::thread_unsafe_counter> {
     LineChannelPtr channel_;
+    std::string instance_; ///< Empty until it has proved that it belongs to the deployment.
+    std::map<std::uint64_t, SessionPtr> operations_;
+};
+
+struct StatementGateway::Session : boost::intrusive_ref_counter<Session, boost::thread_unsafe_counter> {
+    /// The operation at a holder in which the session's transaction is open.
+    struct RemoteTransaction {
+        HolderPtr holder_;
+        std::uint64_t operation_ { 0 };
+    };
+
+    LineChannelPtr channel_; ///< Null for the operation of a peer.
+    PeerPtr peer_; ///< Set for the operation of a peer.
+    std::uint64_t operation_ { 0 }; ///< Of the peer.
+    std::uint64_t number_ { 0 }; ///< The peer's statement under way.
+    std::optional<RemoteTransaction> remote_;
     SqlSession sql_;
     bool started_ { false };
     std::optional<platform::ClientStart> heldStart_; ///< Arrived before this instance had a catalog.
@@ -46,6 +77,8 @@
     std::set<EndpointId> tried_;
     std::optional<ReadFloor> floor_; ///< Of the current attempt.
     EndpointLinkPtr link_;
+    std::vector<std::pair<HolderPtr, std::uint64_t>> forwards_; ///< Where it was sent, and under which number.
+    std::set<InstanceId> triedHolders_;
     bool isDone_ { false };
     EventLoop::TimerId timer_; ///< The statement's time limit.
     AdmissionItem item_;
@@ -91,6 +124,10 @@
     AdmissionQueue primaryQueue_; ///< Statements that only the primary may run.
     AdmissionQueue readQueue_; ///< Reads with a floor, for any endpoint.
     PositionSamples samples_;
+    std::vector<InstanceId> holders_; ///< In the order in which this instance asks them; empty without holders.
+    bool isHeld_ { false }; ///< This instance is one of the holders.
+    bool usedHolders_ { false }; ///< Whether others held the connections at the last update.
+    bool isUnreachableAtHolder_ { false }; ///< The last holder that replied cannot use the primary.
     bool sampling_ { false };
     std::set<JobPtr> awaitSample_; ///< Reads without a floor.
     std::set<JobPtr> jobs_; ///< All statements that wait or run.
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -12,6 +12,8 @@
 
     // Reads keep the newest sample this young, so that each has an old enough floor to choose from.
     constexpr auto sampleInterval = 250ms;
+    // The instance that serves the client ends a statement at the route's time limit; a reply has to arrive before.
+    constexpr auto replyMargin = 20ms;
     // While connections are scarce, control members take the samples; without them this instance takes its own.
     constexpr auto sharedSampleInterval = 1200ms;
 
@@ -23,10 +25,14 @@
     recordRequest(retryBudget_, job->arrived_);
     auto& group = groupOf(job->group_);
     group.jobs_.insert(job);
-    const auto left = job->route_->statementTimeout_;
-    job->timer_ = loop_.schedule(Clock::now() + left, [this, job] { timedOut(job); });
+    // Of a peer's statement, a part of the time has passed.
+    const auto left = job->arrived_ + job->route_->statementTimeout_ - suspendAwareNow();
+    job->timer_
+        = loop_.schedule(Clock::now() + left - (session->peer_ ? replyMargin : 0ms), [this, job] { timedOut(job); });
     if (session->sql_.transaction_ != TransactionState::Open)
         return enqueueJob(job);
+    if (session->remote_)
+        return forwardNext(job);
     // The connection of the transaction is its own: nothing waits.
     job->link_ = session->link_;
     auto* endpoint = find(session->link_->endpoint());
@@ -48,6 +54,10 @@
 void StatementGateway::enqueueJob(const JobPtr& job)
 {
     auto& group = groupOf(job->group_);
+    if (isolated_ && job->needsPrimary_ && usesHolders(group) && group.isUnreachableAtHolder_)
+        return refuseJob(job, Reason::GroupWithoutPrimary);
+    if (forwardJob(job))
+        return;
     const auto now = suspendAwareNow();
     const auto* first = primary(group);
     const bool waitsForPrimary = !first || isFailing(first->load_) || !hasResponded(first->load_);
@@ -56,7 +66,7 @@
     const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
     if (!job->needsPrimary_) {
         const auto newest = newestSample(group.samples_);
-        if (!newest || now - newest->requestedAt_ > (isScarceFor(job->group_) ? sharedSampleInterval : sampleInterval))
+        if (!newest || now - newest->requestedAt_ > (lacksConnections(group) ? sharedSampleInterval : sampleInterval))
             requestSample(group);
         const auto sample = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
         if (!sample) {
@@ -190,7 +200,7 @@
     const Group& group, const Job& job, std::vector<Endpoint*>& choices)
 {
     const auto* first = primary(group);
-    const auto* kept = isScarceFor(group.id_) ? preferred(group) : nullptr;
+    const auto* kept = lacksConnections(group) ? preferred(group) : nullptr;
     std::vector<PlacementCandidate> candidates;
     for (auto& [id, endpoint] : endpoints_) {
         if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint) || isFailing(endpoint->load_))
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -31,8 +31,16 @@
 StatementGateway::~StatementGateway()
 {
     // The loop may go on for a moment, and must not call into this object.
-    for (const auto& session : sessions_)
-        session->channel_->close();
+    for (const auto& session : sessions_) {
+        if (session->channel_)
+            session->channel_->close();
+    }
+    for (const auto& [id, holder] : holders_) {
+        if (holder->channel_)
+            holder->channel_->close();
+    }
+    for (const auto& peer : peers_)
+        peer->channel_->close();
     for (const auto& [id, endpoint] : endpoints_) {
         for (const auto& link : std::exchange(endpoint->links_, {}))
             link->abandon();
@@ -234,6 +242,9 @@
 
 void StatementGateway::answer(const SessionPtr& session, const EndpointReply& reply)
 {
+    if (session->peer_)
+        return replyToPeer(
+            session, { .rows_ = reply.rows_, .signature_ = reply.signature_, .position_ = reply.position_ });
     std::string lines;
     for (const auto& row : reply.rows_)
         lines += platform::encodeRow(row);
@@ -253,6 +264,8 @@
         release(session, true);
         sql.transaction_ = TransactionState::Failed;
     }
+    if (session->peer_)
+        return replyToPeer(session, { .error_ = error, .errorText_ = std::string(text) });
     const auto mark
         = sql.transaction_ == TransactionState::Failed ? platform::SessionMark::Failed : platform::SessionMark::Idle;
     session->channel_->send(platform::encodeError(error, text) + platform::encodeReady(mark, session->position_));
@@ -260,6 +273,7 @@
 
 void StatementGateway::release(const SessionPtr& session, bool rollback)
 {
+    endRemote(session);
     const auto link = std::exchange(session->link_, nullptr);
     if (!link || link->isClosed())
         return;
@@ -276,6 +290,7 @@
         return;
     sessions_.erase(session);
     if (const auto job = std::exchange(session->job_, nullptr); job && !job->isDone_) {
+        endForwards(job);
         // What runs goes on to its end; its answer goes nowhere.
         if (job->item_.state_ != AdmissionItem::State::Running && !job->link_)
             jobDone(job);
@@ -289,7 +304,8 @@
 void StatementGateway::finishOperation(const SessionPtr& session)
 {
     session->used_ = suspendAwareNow();
-    if (!shuttingDown_ || session->closed_ || session->sql_.transaction_ != TransactionState::None || session->busy_)
+    if (!session->channel_ || !shuttingDown_ || session->closed_ || session->sql_.transaction_ != TransactionState::None
+        || session->busy_)
         return;
     session->channel_->closeWhenSent();
     sessionClosed(session);
@@ -298,19 +314,28 @@
 void StatementGateway::endIdleTransactions()
 {
     const auto now = suspendAwareNow();
+    std::vector<SessionPtr> endedPeers;
     for (const auto& session : sessions_) {
         auto& sql = session->sql_;
         if (sql.transaction_ != TransactionState::Open || session->busy_)
             continue;
         const bool isIdle = now - session->used_ > session->catalog_->idleTransaction_;
         const bool mustEnd = shuttingDown_ && now > transactionsEnd_;
-        const bool isLost = session->link_ && session->link_->isClosed();
+        const bool isLost = (session->link_ && session->link_->isClosed())
+            || (session->remote_ && !session->remote_->holder_->channel_);
         if (!isIdle && !mustEnd && !isLost)
             continue;
         metrics_.count(isLost ? Reason::TransactionAborted : mustEnd ? Reason::ShuttingDown : Reason::TransactionIdle);
         release(session, true);
         sql.transaction_ = TransactionState::Failed;
         session->aborted_ = true;
+        if (session->peer_)
+            endedPeers.push_back(session);
+    }
+    // The peer learns it with its next statement, whose operation is not known then.
+    for (const auto& session : endedPeers) {
+        session->peer_->operations_.erase(session->operation_);
+        sessionClosed(session);
     }
 }
 
@@ -318,6 +343,8 @@
 {
     shuttingDown_ = true;
     transactionsEnd_ = suspendAwareNow() + transactionTime;
+    for (const auto& peer : peers_)
+        peer->channel_->send(encodeHolderMessage(HolderLeaving {}));
 }
 
 void StatementGateway::closeResting()
@@ -326,7 +353,7 @@
     std::vector<SessionPtr> resting;
     for (const auto& session : sessions_) {
         const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
-        if (!session->busy_ && ended && resting.size() < closedPerTick)
+        if (session->channel_ && !session->busy_ && ended && resting.size() < closedPerTick)
             resting.push_back(session);
     }
     for (const auto& session : resting) {
@@ -343,6 +370,7 @@
     if (options_.needsLeases_)
         watchLeases();
     watchSilence();
+    watchHolders();
     if (++ticks_ % spareLinkTicks == 0)
         closeSpareLinks();
     loop_.schedule(Clock::now() + tickInterval, [this] { tick(); });
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -3,7 +3,9 @@
 #include "cassiahollow/connection/SqlSession.h"
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Metrics.h"
+#include "cassiahollow/process/StatementHolders.h"
 #include "cassiahollow/request/AdmissionQueue.h"
+#include "cassiahollow/request/HolderProtocol.h"
 #include "cassiahollow/request/PositionSamples.h"
 #include "cassiahollow/request/RetryBudget.h"
 #include "cassiahollow/request/StatementPlacement.h"
@@ -28,6 +30,10 @@
         std::string instance_; ///< Told to endpoints.
         DataCentre dataCentre_;
         bool needsLeases_ { false }; ///< Primaries may be used only while a lease on them is valid.
+        InstanceId self_; ///< Empty if this instance neither forwards statements nor holds groups for others.
+        Incarnation incarnation_ { 0 };
+        std::string forwardPort_; ///< Where all instances take statements of others.
+        std::string deploymentKey_;
     };
 
     StatementGateway(EventLoop&, Metrics&, Options);
@@ -43,6 +49,10 @@
     /// The endpoints as control members know them, and this instance's place among the instances.
     void setEndpoints(const std::vector<RegisteredEndpoint>&);
     void setShare(std::size_t instances, std::size_t rank);
+    /// The instances of this data centre that take requests, and the data centres that have instances.
+    void setNeighbours(std::vector<InstanceId> neighbours, std::size_t dataCentres);
+    /// Another instance has connected to send statements.
+    void acceptPeer(const LineChannelPtr&);
 
     /// A sample that somebody else took, dated by this instance's clock.
     void addSample(const GroupId&, const PositionSample&);
@@ -72,13 +82,20 @@
     /// Sessions that rest are closed one after the other, the others when their operation ends. Transactions that are
     /// open after `transactionTime` are ended.
     void beginShutdown(std::chrono::milliseconds transactionTime);
+    /// Sessions of clients, and operations of other instances.
     std::size_t sessions() const { return sessions_.size(); }
+    std::size_t heldGroups() const;
+    std::size_t forwardedStatements() const;
 
 private:
     struct Session;
     struct Job;
     struct Group;
     struct Endpoint;
+    struct Holder;
+    struct Peer;
+    using HolderPtr = boost::intrusive_ptr<Holder>;
+    using PeerPtr = boost::intrusive_ptr<Peer>;
     using SessionPtr = boost::intrusive_ptr<Session>;
     using JobPtr = boost::intrusive_ptr<Job>;
 
@@ -120,6 +137,7 @@
     void hedge(Group&, const JobPtr&);
     void answerFailure(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
     void answerSuccess(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&, bool provedLead);
+    void completeStatement(const JobPtr&, const EndpointReply&);
     void answerInDoubt(const JobPtr&, const EndpointLinkPtr&, const EndpointReply&);
     void failStatement(const SessionPtr&, StatementError, std::string_view text);
     void lost(const JobPtr&, bool wasSent);
@@ -129,7 +147,45 @@
     void freeLink(const EndpointLinkPtr&, bool isClean);
     void sendFit(const EndpointLinkPtr&, const SqlSession&, const std::optional<PreparedShape>&);
 
+    // Statements of this instance's clients that other instances run.
+    void updateHolders();
+    void rerouteWaiting(Group&);
+    HolderPtr holderFor(Group&, const Job&);
+    HolderPtr holderOf(const InstanceId&);
+    void openHolder(const HolderPtr&);
+    bool forwardJob(const JobPtr&);
+    void forwardNext(const JobPtr&);
+    void sendForward(const HolderPtr&, const JobPtr&, std::uint64_t operation);
+    std::size_t receiveFromHolder(const HolderPtr&, std::string_view);
+    void handle(const HolderPtr&, const StatementReply&);
+    void handle(const HolderPtr&, const HolderLeaving&);
+    void handle(const HolderPtr&, const HolderProbeReply&);
+    template <typename Message> void handle(const HolderPtr&, const Message&);
+    void answerForwarded(const JobPtr&, const StatementReply&);
+    void holderLost(const HolderPtr&);
+    void forwardLost(const JobPtr&, bool wasSent);
+    void forwardTimedOut(const JobPtr&);
+    void endForwards(const JobPtr&);
+    void endRemote(const SessionPtr&);
+    void watchHolders();
+    void probeHolders();
+
+    // Statements of other instances' clients that run here.
+    std::size_t receiveFromPeer(const PeerPtr&, std::string_view);
+    void receiveFrame(const PeerPtr&, std::string_view);
+    void handle(const PeerPtr&, StatementRequest);
+    void handle(const PeerPtr&, const OperationEnd&);
+    void handle(const PeerPtr&, const HolderProbe&);
+    template <typename Message> void handle(const PeerPtr&, const Message&);
+    void replyToPeer(const SessionPtr&, StatementReply);
+    void peerLost(const PeerPtr&);
+    void closePeer(const PeerPtr&);
+
     // Endpoints.
+    bool lacksConnections(const Group&) const;
+    bool usesHolders(const Group&) const;
+    std::size_t connectionShareOf(const Group&, const GroupRules&) const;
+    bool isPrimaryUnreachable(const Group&) const;
     Group& groupOf(const GroupId&);
     Endpoint* primary(const Group&);
     const Endpoint* primary(const Group&) const;
@@ -166,6 +222,13 @@
     std::map<EndpointId, std::unique_ptr<Endpoint>> endpoints_;
     std::size_t instances_ { 1 };
     std::size_t rank_ { 0 };
+    std::vector<InstanceId> neighbours_;
+    std::size_t dataCentres_ { 0 };
+    TimePoint neighboursSince_;
+    bool hasSettled_ { false }; ///< The neighbours did not change for settleTime.
+    StatementHolders assignment_;
+    std::map<InstanceId, HolderPtr> holders_;
+    std::set<PeerPtr> peers_;
     RetryBudget retryBudget_;
     LeaseView leases_;
     bool hadLeases_ { false }; ///< Leases were valid at the last tick.
--- a/fuzz/PlatformDecoders.cpp
+++ b/fuzz/PlatformDecoders.cpp
@@ -3,6 +3,7 @@
 #include "Documents.h"
 #include "LineProtocol.h"
 #include "cassiahollow/process/DirectoryFeed.h"
+#include "cassiahollow/request/HolderProtocol.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -49,6 +50,21 @@
             });
     }
 
+    Verdict checkHolderMessage(const std::string& bytes)
+    {
+        return decoded([&] { return decodeHolderMessage(bytes); },
+            [&](const HolderMessage& message) -> std::string {
+                const auto again = encodeHolderMessage(message);
+                std::string second;
+                decoded([&] { return decodeHolderMessage(std::string_view(again).substr(encodeFrame({}).size())); },
+                    [&](const HolderMessage& same) -> std::string {
+                        second = encodeHolderMessage(same);
+                        return {};
+                    });
+                return second == again ? "" : "a holder message changes when it is passed on";
+            });
+    }
+
     Verdict checkPackedCatalog(const std::string& bytes)
     {
         return decoded(
@@ -132,7 +148,26 @@
         return { encodeDirectoryMessage(answer, now),
             encodeDirectoryMessage(FeedRequest { 1, 2, "m", true, false, { { EndpointId("i-1") } } }, now),
             encodeDirectoryMessage(RegistryUpdate { { recordSeed() }, true, false, { InstanceId("b") } }, now),
-            encodeDirectoryMessage(ReportRelay { InstanceId("b"), { { EndpointId("i-1") } } }, now) };
+            encodeDirectoryMessage(ReportRelay { InstanceId("b"), { { EndpointId("i-1") } } }, now),
+            encodeDirectoryMessage(LeaseRequest { 1, { 2, 3 }, { 2, 2 } }, now),
+            encodeDirectoryMessage(LeaseResponse { 1,
+                                       { { 2, 3 }, std::chrono::milliseconds(20),
+                                           LeaseTable { { 2, 3 }, { { GroupId("returns"), EndpointId("i-1") } } } } },
+                now) };
+    }
+
+    std::vector<std::string> holderSeeds()
+    {
+        StatementRequest request { .operation_ = 1, .number_ = 1, .id_ = "5c", .text_ = "WRITE 1a4 x" };
+        request.kind_ = StatementKind::Write;
+        request.shape_ = PreparedShape { "q2c", true };
+        request.values_ = { { "a", "b" } };
+        std::vector<std::string> seeds;
+        for (const HolderMessage& message : std::initializer_list<HolderMessage> { request, OperationEnd { 1 },
+                 StatementReply { .number_ = 1, .rows_ = { "x" }, .signature_ = "7.1" }, HolderProbe { GroupId("g") },
+                 HolderProbeReply { GroupId("g"), true } })
+            seeds.push_back(encodeHolderMessage(message).substr(encodeFrame({}).size()));
+        return seeds;
     }
 
     std::vector<std::string> catalogSeeds()
@@ -145,9 +180,11 @@
 
     std::vector<std::string> heartbeatSeeds()
     {
-        return { R"({"Service":"s","Address":"10.0.0.9:80","Zone":"a","Version":"v1","Slots":3,"State":"ready",)"
-                 R"("WarmupLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000})",
-            R"({"Service":"s","Address":"a:1","Zone":"a","Slots":1,"State":"draining","DbRole":"primary","Seq":1})" };
+        return {
+            R"({"Service":"s","Address":"10.0.0.9:80","Zone":"a","Version":"v1","Slots":3,"State":"ready",)"
+            R"("WarmupLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000})",
+            R"({"Service":"s","Address":"10.0.0.9:1","Zone":"a","Slots":1,"State":"draining","DbRole":"primary","Seq":1})"
+        };
     }
 
 } // namespace
@@ -156,6 +193,7 @@
 {
     return {
         { "directory-message", checkDirectory, directorySeeds() },
+        { "holder-message", checkHolderMessage, holderSeeds() },
         { "packed-catalog", checkPackedCatalog,
             { packCatalog({ 1, "{}" }).bytes_, packCatalog({ 1, std::string(3000, 'x') }).bytes_ } },
         { "platform-catalog", checkCatalogDocument, catalogSeeds() },
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -33,6 +33,8 @@
     bool missesResponses_ { false }; ///< Earlier responses were lost; the connection to the requester may be dead.
     std::vector<EndpointObservation> reports_;
     LeaseVersion leaseVersion_; ///< The instance has replaced all leases older than this version.
+    DataCentre dataCentre_; ///< Of the instance.
+    std::uint64_t neighboursMark_ { 0 }; ///< neighboursMark_ of the last response with neighbours, or 0.
 };
 
 /// A log position of a group's primary and the time since it was requested. Only the instance that requested the
@@ -69,6 +71,10 @@
     std::size_t rank_ { 0 }; ///< Position of the requester among these instances.
     std::vector<GroupSample> samples_; ///< Positions of groups whose connections are scarce.
     std::optional<LeaseGrant> leases_; ///< Set if the deployment needs leases on primaries.
+    std::uint64_t neighboursMark_ { 0 }; ///< Identifies the neighbours; 0 if none are known.
+    /// All entry instances of the requester's data centre that take requests; absent if the requester knows them.
+    std::optional<std::vector<InstanceId>> neighbours_;
+    std::size_t dataCentres_ { 0 }; ///< Data centres with entry instances.
 };
 
 /// Sent between control members: endpoint records; also serves as a heartbeat.
@@ -77,6 +83,7 @@
     bool requestsAll_ { false }; ///< The sender has just started and requests all records.
     bool recipientSilent_ { false }; ///< The sender receives nothing from the recipient, whose connection may be dead.
     std::vector<InstanceId> instances_; ///< Entry instances with a recent request to the sender.
+    std::vector<DataCentre> dataCentres_; ///< Of these instances, in the same order; empty from earlier versions.
 };
 
 /// Forwards the reports of an instance to the leader.
--- a/include/cassiahollow/process/EndpointRegistry.h
+++ b/include/cassiahollow/process/EndpointRegistry.h
@@ -22,6 +22,9 @@
     EndpointRole role_ { EndpointRole::Replica };
     bool leaving_ { false };
     bool removed_ { false }; ///< It has deregistered, or another endpoint has taken its address.
+    bool displaced_ { false }; ///< Removed because another endpoint has taken its address.
+    /// It has reported again after its first report, or after one that does not continue the earlier ones.
+    bool confirmed_ { false };
     Duration warmUpLeft_ { 0 }; ///< Remaining warm-up time, during which it is slow, as of the report.
     TimePoint receivedAt_; ///< When the first instance received the report.
     TimePoint roleSince_; ///< When the role was first reported.
@@ -45,8 +48,14 @@
 /// failed member, and above the length of any expected partition.
 inline constexpr Duration registryLifetime = std::chrono::seconds(60);
 
+/// A report that is not confirmed by another one within this time, three intervals of the reports, gives way to older
+/// ones that continue: it came from another writer.
+inline constexpr Duration unconfirmedLifetime = std::chrono::seconds(4);
+/// Reports whose sequence is further ahead than this do not continue the earlier ones.
+inline constexpr std::uint64_t maximumSequenceGap = 1000;
+
 /// Merges a report. It is stale if its process start or sequence is older, or if a newer endpoint has taken its
-/// address.
+/// address, unless the newer report stayed alone for unconfirmedLifetime.
 RegistryMerge mergeRecord(EndpointRegistry&, RegisteredEndpoint);
 
 /// Marks an endpoint as removed. Reports of a later process with the same id are accepted again.
@@ -55,7 +64,8 @@
 /// Removes records without a report for registryLifetime.
 void expireRecords(EndpointRegistry&, TimePoint now);
 
-/// Returns the endpoint that last became primary of a group, or null. Valid until the registry changes.
+/// Returns the endpoint that last became primary of a group, or null. One that has reported only once, as the primary,
+/// counts only if there is no other. Valid until the registry changes.
 const RegisteredEndpoint* primaryOf(const EndpointRegistry&, const GroupId&);
 
 /// Returns the endpoints of a group that are not removed. Valid until the registry changes.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -52,7 +52,7 @@
         return json::array({ record.id_.value_, record.group_.value_, record.address_, record.dataCentre_.value_,
             record.startedAtMs_, record.sequence_, record.slots_, record.role_ == EndpointRole::Primary,
             record.leaving_, record.removed_, toAge(record.warmUpLeft_), toAge(now - record.receivedAt_),
-            toAge(now - record.roleSince_) });
+            toAge(now - record.roleSince_), record.confirmed_, record.displaced_ });
     }
 
     RegisteredEndpoint recordFrom(const json& in, TimePoint now)
@@ -71,6 +71,10 @@
         record.warmUpLeft_ = fromAge(in.at(10));
         record.receivedAt_ = now - fromAge(in.at(11));
         record.roleSince_ = now - fromAge(in.at(12));
+        if (in.size() > 14) { // Records of earlier versions end here.
+            record.confirmed_ = in.at(13).get<bool>();
+            record.displaced_ = in.at(14).get<bool>();
+        }
         return record;
     }
 
@@ -185,8 +189,8 @@
     json toJson(const FeedRequest& message, TimePoint)
     {
         return json::array({ KindFeedRequest, message.number_, message.catalogVersion_, message.registryVersion_,
-            message.takesRequests_, message.missesResponses_, toJson(message.reports_),
-            toJson(message.leaseVersion_) });
+            message.takesRequests_, message.missesResponses_, toJson(message.reports_), toJson(message.leaseVersion_),
+            message.dataCentre_.value_, message.neighboursMark_ });
     }
 
     json toJson(const FeedResponse& message, TimePoint now)
@@ -197,14 +201,18 @@
                              : json(),
             message.registryVersion_, message.records_ ? toJson(*message.records_, now) : json(),
             message.leader_.value_, toJson(message.members_), message.instances_, message.rank_,
-            toJson(message.samples_), toAge(message.contactAge_),
-            message.leases_ ? toJson(*message.leases_) : json() });
+            toJson(message.samples_), toAge(message.contactAge_), message.leases_ ? toJson(*message.leases_) : json(),
+            message.neighboursMark_, message.neighbours_ ? toJson(*message.neighbours_) : json(),
+            message.dataCentres_ });
     }
 
     json toJson(const RegistryUpdate& message, TimePoint now)
     {
+        auto dataCentres = json::array();
+        for (const auto& dataCentre : message.dataCentres_)
+            dataCentres.push_back(dataCentre.value_);
         return json::array({ KindRegistryUpdate, toJson(message.records_, now), message.requestsAll_,
-            message.recipientSilent_, toJson(message.instances_) });
+            message.recipientSilent_, toJson(message.instances_), std::move(dataCentres) });
     }
 
     json toJson(const ReportRelay& message, TimePoint)
@@ -228,6 +236,10 @@
             in.at(4).get<bool>(), in.at(5).get<bool>(), reportsFrom(in.at(6)), {} };
         if (in.size() > 7) // Requests of earlier versions end here.
             request.leaseVersion_ = leaseVersionFrom(in.at(7));
+        if (in.size() > 9) {
+            request.dataCentre_ = DataCentre(in.at(8).get<std::string>());
+            request.neighboursMark_ = in.at(9).get<std::uint64_t>();
+        }
         return request;
     }
 
@@ -254,9 +266,26 @@
             response.contactAge_ = fromAge(in.at(12));
         if (in.size() > 13 && !in.at(13).is_null())
             response.leases_ = leaseGrantFrom(in.at(13));
+        if (in.size() > 16) {
+            response.neighboursMark_ = in.at(14).get<std::uint64_t>();
+            if (!in.at(15).is_null())
+                response.neighbours_ = instancesFrom(in.at(15));
+            response.dataCentres_ = in.at(16).get<std::size_t>();
+        }
         return response;
     }
 
+    RegistryUpdate updateFrom(const json& in, TimePoint now)
+    {
+        RegistryUpdate update { recordsFrom(in.at(1), now), in.at(2).get<bool>(), in.at(3).get<bool>(),
+            instancesFrom(in.at(4)), {} };
+        if (in.size() > 5) { // Updates of earlier versions end here.
+            for (const auto& dataCentre : in.at(5))
+                update.dataCentres_.emplace_back(dataCentre.get<std::string>());
+        }
+        return update;
+    }
+
     DirectoryMessage messageFrom(const json& in, TimePoint now)
     {
         switch (in.at(0).get<int>()) {
@@ -265,8 +294,7 @@
         case KindFeedResponse:
             return responseFrom(in, now);
         case KindRegistryUpdate:
-            return RegistryUpdate { recordsFrom(in.at(1), now), in.at(2).get<bool>(), in.at(3).get<bool>(),
-                instancesFrom(in.at(4)) };
+            return updateFrom(in, now);
         case KindReportRelay:
             return ReportRelay { InstanceId(in.at(1).get<std::string>()), reportsFrom(in.at(2)) };
         case KindLeaseRequest:
--- /dev/null
+++ b/src/process/StatementHolders.cpp
@@ -0,0 +1,105 @@
+#include "cassiahollow/process/StatementHolders.h"
+
+#include <algorithm>
+#include <set>
+#include <xxhash.h>
+
+namespace cassiahollow {
+
+namespace {
+
+    // Connections of an endpoint that are left free for control members.
+    constexpr std::size_t reservedConnections = 4;
+    // The part of the remaining connections that the holders of one assignment use.
+    constexpr std::size_t assignmentDivisor = 2;
+
+    std::uint64_t weightOf(const InstanceId& instance, const std::string& key)
+    {
+        return XXH3_64bits_withSeed(
+            key.data(), key.size(), XXH3_64bits(instance.value_.data(), instance.value_.size()));
+    }
+
+    std::vector<InstanceId> byWeight(const std::vector<InstanceId>& instances, const GroupId& group)
+    {
+        std::vector<std::pair<std::uint64_t, InstanceId>> weighted;
+        for (const auto& instance : instances)
+            weighted.emplace_back(weightOf(instance, group.value_), instance);
+        std::sort(weighted.begin(), weighted.end(), std::greater<>());
+        std::vector<InstanceId> order;
+        for (auto& [weight, instance] : weighted)
+            order.push_back(std::move(instance));
+        return order;
+    }
+
+    std::size_t usableConnections(const HolderInputs& inputs)
+    {
+        const auto limit = inputs.connectionLimit_;
+        const auto usable = limit > reservedConnections ? limit - reservedConnections : 1;
+        return std::max<std::size_t>(1, usable / assignmentDivisor / std::max<std::size_t>(1, inputs.dataCentres_));
+    }
+
+} // namespace
+
+StatementHolders assignHolders(const HolderInputs& inputs)
+{
+    StatementHolders holders;
+    if (inputs.groups_.empty() || inputs.instances_.empty())
+        return holders;
+    const auto usable = usableConnections(inputs);
+    const auto instancesPerGroup = std::max<std::size_t>(1, inputs.instances_.size() / inputs.groups_.size());
+    holders.holdersPerGroup_ = std::clamp<std::size_t>(
+        std::min(instancesPerGroup, usable / minimumHolderConnections), 1, maximumHoldersPerGroup);
+    holders.connectionsPerHolder_ = std::max<std::size_t>(1, usable / holders.holdersPerGroup_);
+    const auto roles = inputs.groups_.size() * holders.holdersPerGroup_;
+    const auto capacity = (roles + inputs.instances_.size() - 1) / inputs.instances_.size();
+    std::map<InstanceId, std::size_t> held;
+    auto groups = inputs.groups_;
+    std::sort(groups.begin(), groups.end());
+    for (const auto& group : groups) {
+        auto order = byWeight(inputs.instances_, group);
+        std::size_t chosen = 0;
+        const auto choose = [&](std::size_t limit) {
+            for (auto i = chosen; i < order.size() && chosen < holders.holdersPerGroup_; ++i) {
+                if (held[order[i]] >= limit)
+                    continue;
+                ++held[order[i]];
+                // The instances that are passed over keep their order behind the holders.
+                std::rotate(order.begin() + static_cast<std::ptrdiff_t>(chosen),
+                    order.begin() + static_cast<std::ptrdiff_t>(i), order.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+                ++chosen;
+            }
+        };
+        choose(capacity);
+        // The last groups may find only instances that hold them already or are full.
+        choose(groups.size());
+        holders.order_[group] = std::move(order);
+    }
+    return holders;
+}
+
+std::vector<InstanceId> holderOrder(const StatementHolders& holders, const GroupId& group, const InstanceId& self)
+{
+    const auto found = holders.order_.find(group);
+    if (found == holders.order_.end())
+        return {};
+    auto order = found->second;
+    const auto count = static_cast<std::ptrdiff_t>(std::min(holders.holdersPerGroup_, order.size()));
+    if (count > 1) {
+        const auto first
+            = static_cast<std::ptrdiff_t>(weightOf(self, group.value_) % static_cast<std::uint64_t>(count));
+        std::rotate(order.begin(), order.begin() + first, order.begin() + count);
+    }
+    return order;
+}
+
+bool isHolder(const StatementHolders& holders, const GroupId& group, const InstanceId& instance)
+{
+    const auto found = holders.order_.find(group);
+    if (found == holders.order_.end())
+        return false;
+    const auto end
+        = found->second.begin() + static_cast<std::ptrdiff_t>(std::min(holders.holdersPerGroup_, found->second.size()));
+    return std::find(found->second.begin(), end, instance) != end;
+}
+
+} // namespace cassiahollow
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -159,13 +159,16 @@
     answer.number_ = 4;
     answer.contactAge_ = 130ms;
     answer.leases_ = LeaseGrant { { 3, 5 }, 20ms, std::nullopt };
-    const auto withoutLeases = carriedWithout(answer, [](nlohmann::json& fields) { fields.erase(13); });
+    const auto keep = [](std::size_t count) {
+        return [count](nlohmann::json& fields) {
+            while (fields.size() > count)
+                fields.erase(fields.size() - 1);
+        };
+    };
+    const auto withoutLeases = carriedWithout(answer, keep(13));
     CHECK(std::get<FeedResponse>(withoutLeases).contactAge_ == 130ms);
     CHECK_FALSE(std::get<FeedResponse>(withoutLeases).leases_);
-    const auto answered = carriedWithout(answer, [](nlohmann::json& fields) {
-        while (fields.size() > 12)
-            fields.erase(fields.size() - 1);
-    });
+    const auto answered = carriedWithout(answer, keep(12));
     CHECK(std::get<FeedResponse>(answered).number_ == 4);
     CHECK(std::get<FeedResponse>(answered).contactAge_ == 0ms);
 
@@ -179,8 +182,42 @@
 
     request.leaseVersion_ = { 3, 4 };
     CHECK(std::get<FeedRequest>(carried(request)).leaseVersion_ == LeaseVersion { 3, 4 });
-    const auto older = carriedWithout(request, [](nlohmann::json& fields) { fields.erase(7); });
-    CHECK(std::get<FeedRequest>(older).leaseVersion_ == LeaseVersion {});
+    request.dataCentre_ = DataCentre("a");
+    request.neighboursMark_ = 77;
+    CHECK(std::get<FeedRequest>(carried(request)).dataCentre_ == DataCentre("a"));
+    CHECK(std::get<FeedRequest>(carried(request)).neighboursMark_ == 77);
+    const auto withoutDataCentre = std::get<FeedRequest>(carriedWithout(request, keep(8)));
+    CHECK(withoutDataCentre.leaseVersion_ == LeaseVersion { 3, 4 });
+    CHECK(withoutDataCentre.dataCentre_.empty());
+    CHECK(std::get<FeedRequest>(carriedWithout(request, keep(7))).leaseVersion_ == LeaseVersion {});
+
+    auto confirmed = record();
+    confirmed.confirmed_ = true;
+    confirmed.displaced_ = true;
+    const RegistryUpdate update { { confirmed }, false, false, { InstanceId("x") }, { DataCentre("a") } };
+    const auto arrived = std::get<RegistryUpdate>(carried(update));
+    CHECK(arrived.records_.at(0).confirmed_);
+    CHECK(arrived.records_.at(0).displaced_);
+    CHECK(arrived.dataCentres_ == update.dataCentres_);
+    const auto earlier = std::get<RegistryUpdate>(carriedWithout(update, [&](nlohmann::json& fields) {
+        keep(13)(fields.at(1).at(0));
+        keep(5)(fields);
+    }));
+    CHECK(earlier.records_.at(0).id_ == confirmed.id_);
+    CHECK(earlier.dataCentres_.empty());
+}
+
+TEST_CASE("neighbours arrive only when they have changed")
+{
+    FeedResponse answer;
+    answer.neighboursMark_ = 7;
+    answer.dataCentres_ = 3;
+    CHECK_FALSE(std::get<FeedResponse>(carried(answer)).neighbours_);
+    answer.neighbours_ = { InstanceId("x"), InstanceId("y") };
+    const auto arrived = std::get<FeedResponse>(carried(answer));
+    CHECK(arrived.neighboursMark_ == 7);
+    CHECK(arrived.neighbours_ == answer.neighbours_);
+    CHECK(arrived.dataCentres_ == 3);
 }
 
 TEST_CASE("leases arrive whole, and with their age")
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -162,7 +162,7 @@
 // on with it, and the authority does not stop it when it promotes another one.
 TEST_CASE("no commit is acknowledged by a primary that has a successor, where the authority checks no fences")
 {
-    NodeDeployment deployment(3, 2, false);
+    NodeDeployment deployment(3, 2, { .checksFences_ = false });
     REQUIRE(deployment.configure(1, { "receipts" }, 10s));
     REQUIRE(deployment.waitUntilReady(10s));
     REQUIRE(writesWithin(deployment, 0, "receipts", 10s));
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -61,8 +61,13 @@
     return result;
 }
 
-NodeDeployment::NodeDeployment(std::size_t controls, std::size_t entries, bool checksFences)
-    : checksFences_(checksFences)
+NodeDeployment::NodeDeployment(std::size_t controls, std::size_t entries)
+    : NodeDeployment(controls, entries, Options {})
+{
+}
+
+NodeDeployment::NodeDeployment(std::size_t controls, std::size_t entries, Options options)
+    : options_(options)
     , authority_(loopbackAddress(freePort()))
     , dark_(3)
     , leaving_(3)
@@ -71,6 +76,8 @@
         "returns", std::vector { EndpointId("i-1"), EndpointId("i-2"), EndpointId("i-3") });
     for (const auto& id : group_->endpoints())
         servers_.push_back(std::make_unique<standin::LineServer>(*group_, id, "127.0.0.1", freePort()));
+    for (const auto& server : servers_)
+        server->faults().connectionLimit_ = options_.connectionLimit_;
     startNodes(controls, entries);
     authorityThread_ = std::thread([this] { serveAuthority(); });
     reports_ = std::thread([this] { report(); });
@@ -96,6 +103,7 @@
     const auto operatorsPort = std::to_string(freePort());
     const auto port = std::to_string(freePort());
     const auto readinessPort = std::to_string(freePort());
+    const auto forwardPort = std::to_string(freePort());
     const auto network = "127.7." + std::to_string(nextHost++) + ".";
     std::string seeds;
     for (std::size_t i = 0; i < controls; ++i) {
@@ -109,7 +117,7 @@
                             << node.host_ << ":" << peerPort << "\"}\nseeds: [" << seeds
                             << "]\ndeployment_key: integration-deployment-key\nauthority: \"" << authority_
                             << "\"\nheartbeat_ms: 200\nshutdown_ms: 4000\n"
-                            << (checksFences_ ? "" : "authority_checks_fences: false\n") << more;
+                            << (options_.checksFences_ ? "" : "authority_checks_fences: false\n") << more;
         node.process_ = std::make_unique<ChildProcess>(CASSIAHOLLOW_PROGRAM,
             std::vector<std::string> { "node", "--config=" + file.string() }, folder_.path() / (name + ".log"));
     };
@@ -125,7 +133,9 @@
         entries_.push_back({ host, host + ":" + port, host + ":" + readinessPort, nullptr, {} });
         auto& node = entries_.back();
         start(node, "front-" + std::to_string(i + 1),
-            "statements: \"" + node.address_ + "\", readiness: \"" + node.readiness_ + "\"", "");
+            "statements: \"" + node.address_ + "\", readiness: \"" + node.readiness_ + "\", forward: \"" + host + ":"
+                + forwardPort + "\"",
+            "");
     }
 }
 
@@ -176,7 +186,7 @@
             continue;
         const auto body = json::parse(request.body());
         const auto fence = std::stoull(std::string(request["X-Fencing-Token"]));
-        const bool accepted = (fence >= highest || !checksFences_) && request.target() == "/promote";
+        const bool accepted = (fence >= highest || !options_.checksFences_) && request.target() == "/promote";
         if (accepted) {
             highest = fence;
             const auto endpoint = body.at("Id").get<std::string>();
@@ -212,7 +222,9 @@
     std::uint64_t version, const std::vector<std::string>& databases, std::chrono::milliseconds limit)
 {
     json document { { "Version", version }, { "Routes", json::array() },
-        { "Services", json::array({ { { "Name", "returns" }, { "MaxConns", 40 }, { "SyncReplicas", 0 } } }) } };
+        { "Services",
+            json::array(
+                { { { "Name", "returns" }, { "MaxConns", options_.connectionLimit_ }, { "SyncReplicas", 0 } } }) } };
     for (const auto& database : databases) {
         document["Routes"].push_back({ { "Name", "r-" + database }, { "Host", database }, { "PathPrefix", "/" },
             { "Type", "read_your_writes" }, { "TimeoutMs", 1000 }, { "TargetLatencyMs", 500 }, { "Priority", 1 },
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -39,8 +39,15 @@
         std::uint64_t fence_ { 0 };
     };
 
-    /// Without fences, the authority accepts any order.
-    NodeDeployment(std::size_t controls, std::size_t entries, bool checksFences = true);
+    struct Options {
+        bool checksFences_ { true }; ///< If not, the authority accepts any order.
+        /// Of one database, for all instances. With fewer than there are entry instances, some of them hold the
+        /// connections for the others.
+        std::size_t connectionLimit_ { 40 };
+    };
+
+    NodeDeployment(std::size_t controls, std::size_t entries);
+    NodeDeployment(std::size_t controls, std::size_t entries, Options);
     ~NodeDeployment();
     NodeDeployment(const NodeDeployment&) = delete;
     NodeDeployment& operator=(const NodeDeployment&) = delete;
@@ -65,7 +72,7 @@
     void report();
     void serveAuthority();
 
-    const bool checksFences_;
+    const Options options_;
     TemporaryFolder folder_;
     std::unique_ptr<standin::LineGroup> group_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
