Check the range of what databases and operators state, and outlast one odd entry

Cause: another writer's entry with a port or number out of range was taken (undefined behaviour in a conversion, an address that nobody can connect to), and one with a late start or a sequence far ahead outranked the real database for as long as it lived; under a new id it became the group's primary. Configurations were clipped instead of refused.

Tests: PlatformDocumentsTest, EndpointRegistryTest, and NodeTest with odd entries sent to running processes.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -556,7 +556,7 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_ASSIGN(
-                record, platform::decodeHeartbeat(id, body, Clock::now()));
+                record, platform::decodeHeartbeat(id, body, Clock::now(), std::chrono::system_clock::now()));
             return {};
         },
         [this](const Failure& failure) {
--- a/fuzz/PlatformDecoders.cpp
+++ b/fuzz/PlatformDecoders.cpp
@@ -90,7 +90,7 @@
 
     Verdict checkHeartbeat(const std::string& bytes)
     {
-        return decoded([&] { return platform::decodeHeartbeat("i-1", bytes, now); },
+        return decoded([&] { return platform::decodeHeartbeat("i-1", bytes, now, std::chrono::system_clock::now()); },
             [](const RegisteredEndpoint& record) -> std::string {
                 return record.group_.empty() || record.slots_ == 0 ? "a heartbeat without group or slots is used" : "";
             });
--- a/src/process/EndpointRegistry.cpp
+++ b/src/process/EndpointRegistry.cpp
@@ -10,10 +10,19 @@
 
     bool differsForRouting(const RegisteredEndpoint& a, const RegisteredEndpoint& b)
     {
-        return std::tie(a.group_, a.address_, a.dataCentre_, a.startedAtMs_, a.slots_, a.role_, a.leaving_, a.removed_)
+        const bool differsAsPrimary = a.role_ == EndpointRole::Primary && a.confirmed_ != b.confirmed_;
+        return differsAsPrimary
+            || std::tie(a.group_, a.address_, a.dataCentre_, a.startedAtMs_, a.slots_, a.role_, a.leaving_, a.removed_)
             != std::tie(b.group_, b.address_, b.dataCentre_, b.startedAtMs_, b.slots_, b.role_, b.leaving_, b.removed_);
     }
 
+    // Whether a report that claims to be newer stayed alone while the older ones went on. Symmetric in the order of
+    // arrival, so that all copies of the registry decide alike.
+    bool isOddReport(const RegisteredEndpoint& newer, const RegisteredEndpoint& older)
+    {
+        return !newer.confirmed_ && older.receivedAt_ - newer.receivedAt_ > unconfirmedLifetime;
+    }
+
     // Marks the previous endpoint at the address as removed, because an address is reused only after its owner has
     // stopped. Returns false if a newer endpoint has the address.
     bool claimAddress(EndpointRegistry& registry, const RegisteredEndpoint& record)
@@ -21,9 +30,11 @@
         for (auto& [id, other] : registry.records_) {
             if (id == record.id_ || other.removed_ || other.address_ != record.address_)
                 continue;
-            if (other.startedAtMs_ > record.startedAtMs_)
+            const bool isOlder = other.startedAtMs_ > record.startedAtMs_;
+            if (isOlder != (isOlder ? isOddReport(other, record) : isOddReport(record, other)))
                 return false;
             other.removed_ = true;
+            other.displaced_ = true;
             ++registry.revision_;
         }
         return true;
@@ -36,14 +47,19 @@
     const auto known = registry.records_.find(record.id_);
     if (known != registry.records_.end()) {
         const auto& old = known->second;
-        if (std::tie(record.startedAtMs_, record.sequence_) < std::tie(old.startedAtMs_, old.sequence_))
+        const bool isOlder
+            = std::tie(record.startedAtMs_, record.sequence_) < std::tie(old.startedAtMs_, old.sequence_);
+        if (isOlder != (isOlder ? isOddReport(old, record) : isOddReport(record, old)))
             return RegistryMerge::Stale;
         const bool isRepeated = record.startedAtMs_ == old.startedAtMs_ && record.sequence_ == old.sequence_;
         if (isRepeated && (old.removed_ || !record.removed_))
             return RegistryMerge::Stale;
         // A deregistered process sends no new reports; this one was still in transit.
-        if (old.removed_ && record.startedAtMs_ == old.startedAtMs_)
+        if (old.removed_ && !old.displaced_ && record.startedAtMs_ == old.startedAtMs_)
             return RegistryMerge::Stale;
+        const bool continues = record.startedAtMs_ == old.startedAtMs_ && record.sequence_ > old.sequence_
+            && record.sequence_ - old.sequence_ <= maximumSequenceGap;
+        record.confirmed_ |= continues || isOlder;
         if (record.startedAtMs_ == old.startedAtMs_ && record.role_ == old.role_)
             record.roleSince_ = std::min(record.roleSince_, old.roleSince_);
     }
@@ -84,7 +100,8 @@
     for (const auto& [id, record] : registry.records_) {
         if (record.group_ != group || record.removed_ || record.role_ != EndpointRole::Primary)
             continue;
-        if (!primary || record.roleSince_ > primary->roleSince_)
+        if (!primary
+            || std::tie(record.confirmed_, record.roleSince_) > std::tie(primary->confirmed_, primary->roleSince_))
             primary = &record;
     }
     return primary;
--- a/tests/EndpointRegistryTest.cpp
+++ b/tests/EndpointRegistryTest.cpp
@@ -119,3 +119,62 @@
     expireRecords(registry, start + registryLifetime + 1ms);
     CHECK(registry.records_.empty());
 }
+
+// Guards against one entry of another writer, under a new or a known id, that takes a group or an address over.
+TEST_CASE("one odd entry harms the real endpoint for no longer than it stays unconfirmed")
+{
+    EndpointRegistry registry;
+    auto now = start;
+    std::uint64_t sequence = 0;
+    const auto report = [&](Duration time) {
+        for (const auto end = now + time; now < end; now += 1s) {
+            mergeRecord(registry, primary(record("i1", 100, ++sequence, now)));
+            mergeRecord(registry, record("i2", 100, sequence, now));
+        }
+    };
+    const auto primaryId = [&] { return primaryOf(registry, GroupId("returns"))->id_; };
+    report(5s);
+
+    SECTION("a primary that nobody knows")
+    {
+        mergeRecord(registry, primary(record("i9", 900, 1, now)));
+        CHECK(primaryId() == EndpointId("i1"));
+        report(10s);
+        CHECK(primaryId() == EndpointId("i1"));
+    }
+    SECTION("the address of the primary")
+    {
+        auto odd = record("i9", 900, 1, now);
+        odd.address_ = "10.0.0.1:80";
+        mergeRecord(registry, odd);
+        report(unconfirmedLifetime + 2s);
+        CHECK(primaryId() == EndpointId("i1"));
+        CHECK(registry.records_.at(EndpointId("i9")).removed_);
+        // A copy of the odd entry from another member changes nothing any more.
+        mergeRecord(registry, odd);
+        CHECK(primaryId() == EndpointId("i1"));
+    }
+    SECTION("the id of the primary, with a later start or a sequence far ahead")
+    {
+        auto odd = record("i1", GENERATE(100, 900), 1'000'000, now);
+        odd.address_ = "10.9.9.9:9";
+        mergeRecord(registry, odd);
+        report(unconfirmedLifetime + 2s);
+        CHECK(registry.records_.at(EndpointId("i1")).address_ == "10.0.0.1:80");
+        CHECK(primaryId() == EndpointId("i1"));
+        mergeRecord(registry, odd);
+        CHECK(registry.records_.at(EndpointId("i1")).address_ == "10.0.0.1:80");
+    }
+}
+
+// Guards against a promoted replica that has to wait before it counts as the primary.
+TEST_CASE("a known endpoint that becomes primary counts at once")
+{
+    EndpointRegistry registry;
+    for (std::uint64_t sequence = 1; sequence <= 2; ++sequence) {
+        mergeRecord(registry, primary(record("i1", 100, sequence)));
+        mergeRecord(registry, record("i2", 100, sequence));
+    }
+    mergeRecord(registry, primary(record("i2", 100, 3, start + 1s)));
+    CHECK(primaryOf(registry, GroupId("returns"))->id_ == EndpointId("i2"));
+}
--- a/tests/PlatformDocumentsTest.cpp
+++ b/tests/PlatformDocumentsTest.cpp
@@ -17,6 +17,9 @@
 const std::string heartbeat = R"({"Service":"returns","Address":"10.128.0.9:8080","Zone":"riga-a","Version":"v1",
 "Slots":3,"State":"draining","WarmupLeftMs":20,"DbRole":"primary","Seq":4,"born":1700000000000})";
 
+/// The time of day of the arrival, two days after the database's start.
+const std::chrono::system_clock::time_point noon { 1700172800000ms };
+
 std::string without(std::string text, const std::string& part, const std::string& replacement)
 {
     const auto at = text.find(part);
@@ -70,7 +73,7 @@
 {
     std::optional<RegisteredEndpoint> record;
     REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
-        BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat("i-7", heartbeat, TimePoint(1h)));
+        BOOST_LEAF_ASSIGN(record, platform::decodeHeartbeat("i-7", heartbeat, TimePoint(1h), noon));
         return {};
     }));
     CHECK(record->id_ == EndpointId("i-7"));
@@ -93,7 +96,7 @@
     for (const auto& body : broken) {
         INFO(body);
         const auto failure = failureOf([&]() -> boost::leaf::result<void> {
-            BOOST_LEAF_CHECK(platform::decodeHeartbeat("i-7", body, TimePoint(1h)));
+            BOOST_LEAF_CHECK(platform::decodeHeartbeat("i-7", body, TimePoint(1h), noon));
             return {};
         });
         REQUIRE(failure);
@@ -101,6 +104,71 @@
     }
 }
 
+// Guards against an odd entry of another writer: numbers that overflow, an address that cannot be connected to, a start
+// that no later report of the real database can outrank, nesting that exhausts a stack.
+TEST_CASE("a heartbeat out of range names the field and its range")
+{
+    const auto refusal = [](const std::string& body) {
+        const auto failure = failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(platform::decodeHeartbeat("i-7", body, TimePoint(1h), noon));
+            return {};
+        });
+        return failure ? failure->detail_ : std::string();
+    };
+    CHECK(refusal(heartbeat).empty());
+    for (const auto* address : { "10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:80x", "10.128.0.9",
+             "a:1", ":80", "10.128.0.999:80", "" }) {
+        CAPTURE(address);
+        CHECK(refusal(without(heartbeat, "10.128.0.9:8080", address)).find("Address") != std::string::npos);
+    }
+    for (const auto* number : { "9223372036854775807", "18446744073709551615", "604800001", "1e30", "1e400" }) {
+        CAPTURE(number);
+        CHECK_FALSE(
+            refusal(without(heartbeat, "\"WarmupLeftMs\":20", std::string("\"WarmupLeftMs\":") + number)).empty());
+        CHECK_FALSE(refusal(without(heartbeat, "\"Slots\":3", std::string("\"Slots\":") + number)).empty());
+    }
+    CHECK(refusal(without(heartbeat, "1700000000000", "18446744073709551615")).find("born") != std::string::npos);
+    CHECK(refusal(without(heartbeat, "1700000000000", "1700259200001")).find("born") != std::string::npos);
+    CHECK(refusal(without(heartbeat, "1700000000000", "1700259200000")).empty());
+    CHECK(refusal(without(heartbeat, "\"Seq\":4", "\"Seq\":9007199254740993")).find("Seq") != std::string::npos);
+
+    const auto nested = [](std::size_t levels) {
+        return without(
+            heartbeat, "\"Seq\":4", "\"Seq\":4,\"Other\":" + std::string(levels, '[') + std::string(levels, ']'));
+    };
+    CHECK(refusal(nested(60)).empty());
+    CHECK(refusal(nested(200'000)).find("nested") != std::string::npos);
+    CHECK(refusal(without(heartbeat, "riga-a", std::string(200, '[') + "\\\"")).empty()); // In a string.
+}
+
+// Guards against a configuration that is taken with other values than it states.
+TEST_CASE("a configuration out of range is refused, not limited")
+{
+    const auto refusal = [](const std::string& document) {
+        const auto failure = failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(platform::decodeCatalog(document));
+            return {};
+        });
+        return failure ? failure->detail_ : std::string();
+    };
+    CHECK(refusal(configuration).empty());
+    for (const auto* number : { "18446744073709551615", "9223372036854775807", "604800001", "-1", "1.5", "1e30" }) {
+        CAPTURE(number);
+        const auto with = [&](const std::string& field) {
+            return refusal(without(configuration, field, field.substr(0, field.find(':') + 1) + number));
+        };
+        CHECK(with("\"TimeoutMs\":800").find("TimeoutMs") != std::string::npos);
+        CHECK(with("\"TargetLatencyMs\":250").find("TargetLatencyMs") != std::string::npos);
+        CHECK(with("\"MaxStalenessMs\":2500").find("MaxStalenessMs") != std::string::npos);
+        CHECK(with("\"IdleTxMs\":3000").find("IdleTxMs") != std::string::npos);
+        CHECK(with("\"Priority\":2").find("Priority") != std::string::npos);
+        CHECK(with("\"MaxConns\":82").find("MaxConns") != std::string::npos);
+        CHECK(with("\"SyncReplicas\":1").find("SyncReplicas") != std::string::npos);
+    }
+    CHECK(refusal(without(configuration, "\"Priority\":2", "\"Priority\":9999999999")).find("Priority")
+        != std::string::npos);
+}
+
 TEST_CASE("a promotion is ordered with holder and fence")
 {
     const auto call = platform::encodePromote(GroupId("returns"), EndpointId("i-7"), "core-1", 12);
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -207,3 +207,40 @@
     for (const auto& ids : acknowledged)
         CHECK(kept.contains(ids.back()));
 }
+
+// Guards against an odd entry of another writer that ends a process or takes a database out of use.
+TEST_CASE("odd entries among those of the databases harm neither processes nor databases")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    const std::string fields
+        = R"("Service":"returns","Zone":"a","Version":"v1","State":"ready","DbRole":"primary","WarmupLeftMs":0)";
+    const auto entry = [&](const std::string& rest) { return "{" + fields + "," + rest + "}"; };
+    const auto real = "\"Address\":\"" + deployment.server(0).address() + "\"";
+    const std::vector<std::string> refused { "", "[]", "\xff\xfe", std::string(200'000, '['),
+        entry(R"("Address":"127.0.0.1:99999","Slots":2,"Seq":1,"born":1700000000000)"),
+        entry(real + R"(,"Slots":2,"Seq":1,"born":18446744073709551615)"), entry(real + R"(,"Slots":1e400,"Seq":1)"),
+        entry(real + R"(,"Slots":2,"Seq":18446744073709551615)"),
+        entry(real + ",\"Slots\":2,\"Seq\":1,\"Other\":" + std::string(100'000, '[') + std::string(100'000, ']')) };
+    // Taken as entries, but of nobody who goes on reporting.
+    const std::vector<std::string> alone { entry(real + R"(,"Slots":2,"Seq":1,"born":1700000900000)"),
+        entry(R"("Address":"127.0.0.1:9","Slots":2,"Seq":900000,"born":1700000000000)") };
+    for (const auto& control : deployment.controls()) {
+        for (const auto* id : { "i-1", "i-9" }) {
+            for (const auto& body : refused)
+                CHECK(callNode("PUT", control.address_, std::string("/api/instances/") + id, body).status_ == 400);
+        }
+    }
+    CHECK(writesWithin(deployment, 0, "receipts", 1s));
+    for (const auto& body : alone) {
+        callNode("PUT", deployment.controls()[0].address_, "/api/instances/i-9", body);
+        callNode("PUT", deployment.controls()[1].address_, "/api/instances/i-1", body);
+    }
+    // The real one is in use again after unconfirmedLifetime, or a replica leads.
+    CHECK(writesWithin(deployment, 0, "receipts", 8s));
+    for (const auto& control : deployment.controls())
+        CHECK(control.process_->isRunning());
+    CHECK(deployment.entries()[0].process_->isRunning());
+}
