--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -56,6 +56,10 @@
         inputs.connectionLimit_ = limit == 0 ? rules.connectionLimit_ : std::min(limit, rules.connectionLimit_);
     }
     assignment_ = assignHolders(inputs);
+    std::erase_if(holders_, [&](const auto& item) {
+        const bool isGone = std::find(neighbours_.begin(), neighbours_.end(), item.first) == neighbours_.end();
+        return isGone && !item.second->channel_ && item.second->pending_.empty();
+    });
     const auto heldBefore = heldGroups();
     for (const auto& [id, group] : groups_) {
         group->holders_ = holderOrder(assignment_, id, options_.self_);
--- a/include/cassiahollow/version/PrimaryLease.h
+++ b/include/cassiahollow/version/PrimaryLease.h
@@ -31,7 +31,7 @@
     Term term_ { 0 }; ///< The control term of the leader.
     std::uint64_t number_ { 0 }; ///< Increases with each change in the term.
 
-    auto operator<=>(const LeaseVersion&) const = default;
+    auto operator<=>(const LeaseVersion&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// The permission to use an endpoint as the primary of its group.
