Refuse deeply nested messages between instances

Cause: the decoder of MessagePack recurses for each level, and a message of a mebibyte in which each byte opens an array ends the process (shown with the library's decoder alone: segmentation fault). Only instances with the deployment key can send one.

Tests: DirectoryFeedTest, HolderProtocolTest.

--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -1,6 +1,7 @@
 #include "cassiahollow/process/DirectoryFeed.h"
 
 #include "cassiahollow/process/Reasons.h"
+#include "process/NestingLimit.h"
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
@@ -353,6 +354,7 @@
 leaf::result<DirectoryMessage> decodeDirectoryMessage(std::string_view bytes, TimePoint now)
 {
     try {
+        checkNesting(bytes, json::input_format_t::msgpack);
         return messageFrom(json::from_msgpack(bytes.begin(), bytes.end()), now);
     } catch (const std::exception& error) {
         return leaf::new_error(Failure { Reason::MessageMalformed, error.what() });
--- a/src/request/HolderProtocol.cpp
+++ b/src/request/HolderProtocol.cpp
@@ -1,6 +1,7 @@
 #include "cassiahollow/request/HolderProtocol.h"
 
 #include "cassiahollow/process/Reasons.h"
+#include "process/NestingLimit.h"
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
@@ -229,6 +230,7 @@
 leaf::result<HolderMessage> decodeHolderMessage(std::string_view bytes)
 {
     try {
+        checkNesting(bytes, json::input_format_t::msgpack);
         return messageFrom(json::from_msgpack(bytes.begin(), bytes.end()));
     } catch (const std::exception& error) {
         return leaf::new_error(Failure { Reason::MessageMalformed, error.what() });
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -242,6 +242,17 @@
     CHECK_FALSE(granted.grant_.table_);
 }
 
+// Guards against a message that exhausts the stack of the process: each byte opens another array or map.
+TEST_CASE("a deeply nested message is refused")
+{
+    for (const char opens : { '\x91', '\x81' }) {
+        CHECK(failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(decodeDirectoryMessage(std::string(1 << 20, opens), receiverNow));
+            return {};
+        }));
+    }
+}
+
 // Guards against a time before the start of the clock, or one that overflows.
 TEST_CASE("an age out of range is limited")
 {
--- a/tests/HolderProtocolTest.cpp
+++ b/tests/HolderProtocolTest.cpp
@@ -113,6 +113,8 @@
     CHECK_FALSE(decoded(std::string("\xff\xff\xff\x7f", 4)));
     for (std::size_t size = 5; size < frame.size(); ++size)
         CHECK_FALSE(decoded(encodeFrame(std::string_view(frame).substr(4, size - 5))));
+    // Each byte opens another array.
+    CHECK_FALSE(decoded(encodeFrame(std::string(1 << 20, '\x91'))));
     auto other = request();
     other.kind_ = StatementKind::Begin;
     CHECK_FALSE(decoded(encodeHolderMessage(other)));
