Split how a holder takes a peer's statement, and refuse only new operations at the limit

A statement of an open transaction was answered as aborted when its peer had too many operations, and the transaction stayed open at the holder.

--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -23,7 +23,7 @@
     constexpr auto settleTime = 2500ms;
     // Attempts of one statement at holders.
     constexpr int maximumForwards = 4;
-    // A group without a primary that this instance may use is asked for again after this time.
+    // Time between two questions to a holder whether it reaches the primaries, while this instance may be cut off.
     constexpr auto holderProbeInterval = 100ms;
 
     std::string hostOf(const InstanceId& instance)
@@ -43,10 +43,9 @@
     updateHolders();
 }
 
-void StatementGateway::updateHolders()
+// The groups whose connections do not suffice for all instances, and the instances that may hold them.
+HolderInputs StatementGateway::holderInputs() const
 {
-    if (options_.self_.empty() || !catalog_)
-        return;
     HolderInputs inputs { .groups_ = {}, .instances_ = neighbours_, .dataCentres_ = dataCentres_ };
     for (const auto& rules : catalog_->groups_) {
         if (!areConnectionsScarce(rules.connectionLimit_, instances_))
@@ -55,7 +54,14 @@
         const auto limit = inputs.connectionLimit_;
         inputs.connectionLimit_ = limit == 0 ? rules.connectionLimit_ : std::min(limit, rules.connectionLimit_);
     }
-    assignment_ = assignHolders(inputs);
+    return inputs;
+}
+
+void StatementGateway::updateHolders()
+{
+    if (options_.self_.empty() || !catalog_)
+        return;
+    assignment_ = assignHolders(holderInputs());
     std::erase_if(holders_, [&](const auto& item) {
         const bool isGone = std::find(neighbours_.begin(), neighbours_.end(), item.first) == neighbours_.end();
         return isGone && !item.second->channel_ && item.second->pending_.empty();
@@ -66,12 +72,11 @@
         const bool isHeld = isHolder(assignment_, id, options_.self_);
         if (!group->holders_.empty() && !isHeld)
             openHolder(holderOf(group->holders_.front()));
-        const bool isChanged = isHeld != std::exchange(group->isHeld_, isHeld);
-        const bool isGivenUp = usesHolders(*group) && !std::exchange(group->usedHolders_, true);
-        group->usedHolders_ = usesHolders(*group);
-        if (isGivenUp)
+        const bool wasHeld = std::exchange(group->isHeld_, isHeld);
+        const bool usedHolders = std::exchange(group->usedHolders_, usesHolders(*group));
+        if (group->usedHolders_ && !usedHolders)
             rerouteWaiting(*group);
-        if (isChanged)
+        if (isHeld != wasHeld)
             dispatch(*group);
     }
     if (heldBefore != heldGroups()) {
@@ -175,36 +180,42 @@
     sendForward(holder, job, remote.operation_);
 }
 
+// A statement as its holder needs it, without the numbers that the connection gives it.
+StatementRequest StatementGateway::requestFor(const Job& job, TimePoint now)
+{
+    const auto& sql = job.session_->sql_;
+    StatementRequest request;
+    request.id_ = job.id_;
+    request.text_ = job.text_;
+    request.kind_ = job.kind_;
+    request.opensTransaction_ = job.opensTransaction_;
+    request.readOnly_ = sql.readOnly_;
+    request.age_ = now - job.arrived_;
+    request.operationAge_ = now - job.ageFrom_;
+    request.shape_ = job.shape_;
+    request.route_ = *job.route_;
+    request.catalogVersion_ = job.catalog_->version_;
+    request.idleTransaction_ = job.catalog_->idleTransaction_;
+    request.ownCommit_ = sql.ownCommit_.position_;
+    request.ownCommitAge_ = now - sql.ownCommit_.acknowledgedAt_;
+    request.values_ = sql.values_;
+    return request;
+}
+
 void StatementGateway::sendForward(const HolderPtr& holder, const JobPtr& job, std::uint64_t operation)
 {
     openHolder(holder);
     const auto now = suspendAwareNow();
-    const auto& session = job->session_;
-    auto& sql = session->sql_;
-    StatementRequest message;
-    message.number_ = ++holder->lastNumber_;
-    message.operation_ = operation > 0 ? operation : message.number_;
-    message.id_ = job->id_;
-    message.text_ = job->text_;
-    message.kind_ = job->kind_;
-    message.opensTransaction_ = job->opensTransaction_;
-    message.readOnly_ = sql.readOnly_;
-    message.age_ = now - job->arrived_;
-    message.operationAge_ = now - job->ageFrom_;
-    message.shape_ = job->shape_;
-    message.route_ = *job->route_;
-    message.catalogVersion_ = job->catalog_->version_;
-    message.idleTransaction_ = job->catalog_->idleTransaction_;
-    message.ownCommit_ = sql.ownCommit_.position_;
-    message.ownCommitAge_ = now - sql.ownCommit_.acknowledgedAt_;
-    message.values_ = sql.values_;
-    holder->pending_.emplace(message.number_, job);
-    job->forwards_.emplace_back(holder, message.number_);
+    auto request = requestFor(*job, now);
+    request.number_ = ++holder->lastNumber_;
+    request.operation_ = operation > 0 ? operation : request.number_;
+    holder->pending_.emplace(request.number_, job);
+    job->forwards_.emplace_back(holder, request.number_);
     job->triedHolders_.insert(holder->id_);
     job->sent_ = now;
     ++job->outstanding_;
     ++job->attempts_;
-    session->wrote_ |= operation > 0 && job->kind_ == StatementKind::Write;
+    job->session_->wrote_ |= operation > 0 && job->kind_ == StatementKind::Write;
     metrics_.add(CounterId::Forwarded);
     LogLine(LogKind::Placement, "forwarded")
         .with("request", job->id_)
@@ -212,7 +223,7 @@
         .with("holder", holder->id_.value_)
         .with("waited", now - job->arrived_)
         .with("attempt", static_cast<std::uint64_t>(job->attempts_));
-    holder->channel_->send(encodeHolderMessage(message));
+    holder->channel_->send(encodeHolderMessage(request));
 }
 
 std::size_t StatementGateway::receiveFromHolder(const HolderPtr& holder, std::string_view bytes)
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -61,67 +61,75 @@
     metrics_.count(Reason::MessageMalformed); // Only holders send these.
 }
 
-void StatementGateway::handle(const PeerPtr& peer, StatementRequest message)
+void StatementGateway::handle(const PeerPtr& peer, StatementRequest request)
 {
-    SessionPtr session;
-    if (const auto known = peer->operations_.find(message.operation_); known != peer->operations_.end()) {
-        session = known->second;
-        if (session->busy_) {
-            metrics_.count(Reason::MessageMalformed);
-            return closePeer(peer);
-        }
+    const auto known = peer->operations_.find(request.operation_);
+    const bool isKnown = known != peer->operations_.end();
+    const bool begins = request.operation_ == request.number_;
+    // A peer waits for each reply of an operation.
+    if (isKnown && (begins || known->second->busy_)) {
+        metrics_.count(Reason::MessageMalformed);
+        return closePeer(peer);
     }
-    const bool begins = message.operation_ == message.number_;
-    const bool isRefused = peer->operations_.size() >= maximumOperations;
-    if (begins == (session != nullptr) || isRefused) {
-        // A transaction that has ended here, or too many operations.
-        StatementReply reply {
-            .number_ = message.number_, .error_ = StatementError::Aborted, .errorText_ = "the transaction was ended"
-        };
-        if (begins) {
-            metrics_.count(Reason::QueueFull);
-            reply.error_ = StatementError::Overloaded;
-            reply.errorText_ = "not run, too many operations";
-        }
-        return peer->channel_->send(encodeHolderMessage(reply));
+    if (!isKnown && !begins)
+        return refusePeer(peer, request.number_, StatementError::Aborted, "the transaction was ended");
+    if (!isKnown && peer->operations_.size() >= maximumOperations) {
+        metrics_.count(Reason::QueueFull);
+        return refusePeer(peer, request.number_, StatementError::Overloaded, "not run, too many operations");
     }
+    runForPeer(isKnown ? known->second : beginOperation(peer, request), std::move(request));
+}
+
+void StatementGateway::refusePeer(
+    const PeerPtr& peer, std::uint64_t number, StatementError error, std::string_view text)
+{
+    peer->channel_->send(
+        encodeHolderMessage(StatementReply { .number_ = number, .error_ = error, .errorText_ = std::string(text) }));
+}
+
+StatementGateway::SessionPtr StatementGateway::beginOperation(const PeerPtr& peer, const StatementRequest& request)
+{
+    const SessionPtr session(new Session);
+    session->peer_ = peer;
+    session->operation_ = request.operation_;
+    session->started_ = true;
+    session->sql_.database_ = request.route_.database_;
+    session->sql_.transaction_ = request.opensTransaction_ ? TransactionState::Deferred : TransactionState::None;
+    session->sql_.readOnly_ = request.readOnly_;
+    session->sql_.startedAt_ = suspendAwareNow() - request.operationAge_;
+    // The route as the peer knows it, whatever catalog this instance has.
+    auto catalog = std::make_shared<RouteCatalog>();
+    catalog->version_ = request.catalogVersion_;
+    catalog->routes_ = { request.route_ };
+    catalog->idleTransaction_ = std::chrono::duration_cast<std::chrono::milliseconds>(request.idleTransaction_);
+    session->catalog_ = catalog;
+    session->route_ = &catalog->routes_.front();
+    sessions_.insert(session);
+    peer->operations_.emplace(session->operation_, session);
+    return session;
+}
+
+void StatementGateway::runForPeer(const SessionPtr& session, StatementRequest request)
+{
     const auto now = suspendAwareNow();
-    if (!session) {
-        session = new Session;
-        session->peer_ = peer;
-        session->operation_ = message.operation_;
-        session->started_ = true;
-        session->sql_.database_ = message.route_.database_;
-        session->sql_.transaction_ = message.opensTransaction_ ? TransactionState::Deferred : TransactionState::None;
-        session->sql_.readOnly_ = message.readOnly_;
-        session->sql_.startedAt_ = now - message.operationAge_;
-        auto catalog = std::make_shared<RouteCatalog>();
-        catalog->version_ = message.catalogVersion_;
-        catalog->routes_ = { message.route_ };
-        catalog->idleTransaction_ = std::chrono::duration_cast<std::chrono::milliseconds>(message.idleTransaction_);
-        session->catalog_ = catalog;
-        session->route_ = &catalog->routes_.front();
-        sessions_.insert(session);
-        peer->operations_.emplace(session->operation_, session);
-    }
+    auto& sql = session->sql_;
     session->used_ = now;
-    session->number_ = message.number_;
-    session->sql_.values_ = std::move(message.values_);
-    session->sql_.ownCommit_ = { message.ownCommit_, now - message.ownCommitAge_ };
+    session->number_ = request.number_;
+    sql.values_ = std::move(request.values_);
+    sql.ownCommit_ = { request.ownCommit_, now - request.ownCommitAge_ };
     const JobPtr job(new Job);
     job->session_ = session;
-    job->id_ = std::move(message.id_);
-    job->text_ = std::move(message.text_);
-    job->kind_ = message.kind_;
-    job->shape_ = std::move(message.shape_);
+    job->id_ = std::move(request.id_);
+    job->text_ = std::move(request.text_);
+    job->kind_ = request.kind_;
+    job->shape_ = std::move(request.shape_);
     job->catalog_ = session->catalog_;
     job->route_ = session->route_;
     job->group_ = session->route_->group_;
-    job->arrived_ = now - std::min(message.age_, message.operationAge_);
-    job->ageFrom_ = now - message.operationAge_;
-    job->opensTransaction_ = session->sql_.transaction_ == TransactionState::Deferred;
-    const bool mayWrite = job->opensTransaction_ ? !session->sql_.readOnly_ : job->kind_ != StatementKind::Read;
-    job->needsPrimary_ = mayWrite || job->route_->consistency_ == Consistency::Primary;
+    job->arrived_ = now - std::min(request.age_, request.operationAge_);
+    job->ageFrom_ = now - request.operationAge_;
+    job->opensTransaction_ = sql.transaction_ == TransactionState::Deferred;
+    job->needsPrimary_ = needsPrimary(*job);
     session->busy_ = true;
     session->job_ = job;
     submit(job);
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -19,6 +19,12 @@
 
 } // namespace
 
+bool StatementGateway::needsPrimary(const Job& job)
+{
+    const bool mayWrite = job.opensTransaction_ ? !job.session_->sql_.readOnly_ : job.kind_ != StatementKind::Read;
+    return mayWrite || job.route_->consistency_ == Consistency::Primary;
+}
+
 void StatementGateway::submit(const JobPtr& job)
 {
     const auto& session = job->session_;
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -225,8 +225,7 @@
     job->arrived_ = suspendAwareNow();
     job->ageFrom_ = sql.transaction_ == TransactionState::None ? job->arrived_ : sql.startedAt_;
     job->opensTransaction_ = sql.transaction_ == TransactionState::Deferred;
-    const bool mayWrite = job->opensTransaction_ ? !sql.readOnly_ : job->kind_ != StatementKind::Read;
-    job->needsPrimary_ = mayWrite || job->route_->consistency_ == Consistency::Primary;
+    job->needsPrimary_ = needsPrimary(*job);
     session->busy_ = true;
     session->job_ = job;
     submit(job);
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -117,6 +117,7 @@
     void closeResting();
 
     // Statements.
+    static bool needsPrimary(const Job&);
     void submit(const JobPtr&);
     void enqueueJob(const JobPtr&);
     void resizeQueues(Group&);
@@ -148,6 +149,7 @@
     void sendFit(const EndpointLinkPtr&, const SqlSession&, const std::optional<PreparedShape>&);
 
     // Statements of this instance's clients that other instances run.
+    HolderInputs holderInputs() const;
     void updateHolders();
     void rerouteWaiting(Group&);
     HolderPtr holderFor(Group&, const Job&);
@@ -155,6 +157,7 @@
     void openHolder(const HolderPtr&);
     bool forwardJob(const JobPtr&);
     void forwardNext(const JobPtr&);
+    static StatementRequest requestFor(const Job&, TimePoint now);
     void sendForward(const HolderPtr&, const JobPtr&, std::uint64_t operation);
     std::size_t receiveFromHolder(const HolderPtr&, std::string_view);
     void handle(const HolderPtr&, const StatementReply&);
@@ -174,6 +177,9 @@
     std::size_t receiveFromPeer(const PeerPtr&, std::string_view);
     void receiveFrame(const PeerPtr&, std::string_view);
     void handle(const PeerPtr&, StatementRequest);
+    static void refusePeer(const PeerPtr&, std::uint64_t number, StatementError, std::string_view text);
+    SessionPtr beginOperation(const PeerPtr&, const StatementRequest&);
+    void runForPeer(const SessionPtr&, StatementRequest);
     void handle(const PeerPtr&, const OperationEnd&);
     void handle(const PeerPtr&, const HolderProbe&);
     template <typename Message> void handle(const PeerPtr&, const Message&);
