--- a/include/cassiahollow/process/StatementHolders.h
+++ b/include/cassiahollow/process/StatementHolders.h
@@ -16,7 +16,7 @@
 /// instance on demand, most attempts are refused for the limit, and each takes slot time that statements need.
 
 /// Connections that each holder of a group may have to one endpoint at least.
-inline constexpr std::size_t minimumHolderConnections = 4;
+inline constexpr std::size_t minimumHolderConnections = 2;
 /// Holders for one group in one data centre at most. More would know less of the load.
 inline constexpr std::size_t maximumHoldersPerGroup = 3;
 
