--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -175,7 +175,6 @@
 
     // Statements of other instances' clients that run here.
     std::size_t receiveFromPeer(const PeerPtr&, std::string_view);
-    void receiveFrame(const PeerPtr&, std::string_view);
     void handle(const PeerPtr&, StatementRequest);
     static void refusePeer(const PeerPtr&, std::uint64_t number, StatementError, std::string_view text);
     SessionPtr beginOperation(const PeerPtr&, const StatementRequest&);
