--- a/review/support/Databases.cpp
+++ b/review/support/Databases.cpp
@@ -172,11 +172,20 @@
     return count > 0 && log_[count - 1].position_ >= position;
 }
 
+// A database that stops leading keeps its log.
+void Group::keepLog(const std::string& id)
+{
+    for (auto& commit : log_)
+        commit.receivedAt_.try_emplace(id, TimePoint());
+}
+
 void Group::stepDown(const std::string& id, std::uint64_t term)
 {
     const std::lock_guard lock(mutex_);
-    if (primary_ == id && term > term_)
-        primary_.clear();
+    if (primary_ != id || term <= term_)
+        return;
+    keepLog(id);
+    primary_.clear();
 }
 
 void Group::promote(const std::string& id)
@@ -184,10 +193,12 @@
     const std::lock_guard lock(mutex_);
     if (primary_ == id)
         return;
+    // What is on its way to the target when the promotion happens does not count.
     const auto kept = received(id);
     for (auto i = kept; i < log_.size(); ++i)
         rolledBack_.insert(log_[i].query_);
     log_.resize(kept);
+    keepLog(primary_);
     primary_ = id;
     ++term_;
     deaf_.clear(); // A promotion ends what PAUSE began.
--- a/review/support/Databases.h
+++ b/review/support/Databases.h
@@ -64,6 +64,7 @@
     std::set<std::string> rolledBack() const;
 
 private:
+    void keepLog(const std::string& id);
     std::size_t received(const std::string& id) const;
     bool reaches(const std::string& id, const Position& position) const;
 
