Report a connection that fails at once after the call that opens it

Cause: libwebsockets reports errors that socket() or connect() give at once from inside lws_client_connect_via_info(). LineChannel and EndpointChannel then called the owner's closed handler before open() had returned, and HttpCalls its handler inside call(). An EndpointLink closes its channel in that handler, which it did not hold yet:

Ruled out: the record itself (the decoder and the registry take it without harm) and one bad address only: a process without a free descriptor takes the same path at any address.

The stand-in's Server has no owner that could be called early and keeps its state in one object; unchanged.

Change: ClientConnection starts all connections. Reports that come before the call has returned are held back and delivered from the loop: the rule stands at the interface and in one place instead of three. A channel that is given up meanwhile calls nobody.

NodeTest sends the heartbeat to real processes.

GCC's -Wuse-after-free at HttpCall (release build) is a false positive: the loop and the local pointer each hold a reference, which GCC does not see in the counter; it reports the same pattern at DutyRunner's Probe.

--- a/daemon/connection/EndpointChannel.cpp
+++ b/daemon/connection/EndpointChannel.cpp
@@ -1,7 +1,5 @@
 #include "connection/EndpointChannel.h"
 
-#include "connection/HttpListener.h"
-
 #include <stdexcept>
 
 namespace cassiahollow {
@@ -21,7 +19,7 @@
         return;
     outgoing_.push_back(std::move(text));
     if (open_)
-        lws_callback_on_writable(wsi_);
+        lws_callback_on_writable(connection_.wsi_);
 }
 
 void EndpointChannel::abandon()
@@ -30,8 +28,13 @@
         return;
     abandoned_ = true;
     handlers_ = {};
-    if (wsi_ && !ended_)
-        lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    kill();
+}
+
+void EndpointChannel::kill()
+{
+    if (connection_.wsi_)
+        lws_set_timeout(connection_.wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
 }
 
 void EndpointChannel::ended()
@@ -39,7 +42,7 @@
     if (std::exchange(ended_, true))
         return;
     open_ = false;
-    wsi_ = nullptr;
+    connection_.wsi_ = nullptr;
     const auto closed = std::move(handlers_.closed_);
     handlers_ = {};
     if (closed)
@@ -54,7 +57,8 @@
         return 0;
     switch (reason) {
     case LWS_CALLBACK_CLIENT_ESTABLISHED:
-        channel->wsi_ = wsi;
+        if (holdBackOpened(channel->connection_, wsi))
+            return 0;
         [[fallthrough]];
     case LWS_CALLBACK_CLIENT_RECEIVE:
     case LWS_CALLBACK_CLIENT_WRITEABLE: {
@@ -64,32 +68,42 @@
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLIENT_CLOSED:
     case LWS_CALLBACK_WSI_DESTROY:
-        // More callbacks may follow for this socket, after the channel is gone.
-        lws_set_wsi_user(wsi, nullptr);
-        channel->ended();
+        if (!holdBackEnded(channel->connection_, wsi))
+            channel->ended();
         return 0;
     default:
         return 0;
     }
 }
 
+int EndpointChannel::opened()
+{
+    open_ = true;
+    if (!outgoing_.empty())
+        lws_callback_on_writable(connection_.wsi_);
+    if (handlers_.opened_)
+        handlers_.opened_();
+    return abandoned_ ? -1 : 0;
+}
+
+// The report was held back until open() had returned.
+void EndpointChannel::openedLate()
+{
+    if (!ended_ && !abandoned_ && opened() < 0)
+        kill();
+}
+
 int EndpointChannel::handle(lws_callback_reasons reason, const char* in, std::size_t length)
 {
     if (abandoned_)
         return -1;
-    if (reason == LWS_CALLBACK_CLIENT_ESTABLISHED) {
-        open_ = true;
-        if (!outgoing_.empty())
-            lws_callback_on_writable(wsi_);
-        if (handlers_.opened_)
-            handlers_.opened_();
-        return abandoned_ ? -1 : 0;
-    }
+    if (reason == LWS_CALLBACK_CLIENT_ESTABLISHED)
+        return opened();
     if (reason == LWS_CALLBACK_CLIENT_RECEIVE) {
         if (partialMessage_.size() + length > maxAnswerBytes)
             return -1;
         partialMessage_.append(in, length);
-        if (!lws_is_final_fragment(wsi_) || lws_remaining_packet_payload(wsi_) > 0)
+        if (!lws_is_final_fragment(connection_.wsi_) || lws_remaining_packet_payload(connection_.wsi_) > 0)
             return 0;
         const auto message = handlers_.message_; // The handler may abandon the channel and with it itself.
         if (message)
@@ -103,10 +117,11 @@
     const std::size_t size = outgoing_.front().size();
     outgoing_.pop_front();
     sent_ = true;
-    if (lws_write(wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, size, LWS_WRITE_TEXT) < 0)
+    if (lws_write(connection_.wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, size, LWS_WRITE_TEXT)
+        < 0)
         return -1;
     if (!outgoing_.empty())
-        lws_callback_on_writable(wsi_);
+        lws_callback_on_writable(connection_.wsi_);
     return 0;
 }
 
@@ -132,36 +147,12 @@
 {
     EndpointChannelPtr channel(new EndpointChannel);
     channel->handlers_ = std::move(handlers);
-    intrusive_ptr_add_ref(channel.get());
-    const auto parts = splitAddress(address);
-    lws* wsi = nullptr;
-    if (parts) {
-        const std::string host = parts->first;
-        lws_client_connect_info info {};
-        info.context = loop_.context();
-        info.vhost = vhost_;
-        info.address = host.c_str();
-        info.port = parts->second;
-        info.path = "/";
-        info.host = host.c_str();
-        info.origin = host.c_str();
-        info.protocol = protocolName;
-        info.local_protocol_name = protocolName;
-        info.userdata = channel.get();
-        info.pwsi = &wsi;
-        lws_client_connect_via_info(&info);
-    }
-    if (!wsi || channel->ended_) {
-        // The owner is told later, because it does not hold the channel yet.
-        if (!channel->ended_) {
-            loop_.schedule(Clock::now(), [channel] { channel->ended(); });
-        }
-        return channel;
-    }
-    channel->wsi_ = wsi;
+    intrusive_ptr_add_ref(channel.get()); // Released by ended().
+    startConnecting(loop_, vhost_, channel->connection_, { .address_ = address, .protocol_ = protocolName },
+        channel.get(), { .opened_ = [channel] { channel->openedLate(); }, .ended_ = [channel] { channel->ended(); } });
     loop_.schedule(Clock::now() + timeout, [channel] {
-        if (!channel->open_ && !channel->ended_ && channel->wsi_)
-            lws_set_timeout(channel->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+        if (!channel->open_)
+            channel->kill();
     });
     return channel;
 }
--- a/daemon/connection/EndpointChannel.h
+++ b/daemon/connection/EndpointChannel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/ClientConnection.h"
 #include "process/EventLoop.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -35,9 +36,12 @@
 
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
     int handle(lws_callback_reasons, const char* in, std::size_t length);
+    int opened();
+    void openedLate();
+    void kill();
     void ended();
 
-    lws* wsi_ { nullptr };
+    ClientConnection connection_;
     ChannelHandlers handlers_;
     std::deque<std::string> outgoing_;
     std::string partialMessage_;
@@ -55,7 +59,8 @@
     explicit ChannelFactory(EventLoop&);
     ~ChannelFactory();
 
-    /// Begins to open a connection to ip:port. Never returns null; a failure is reported by the closed handler.
+    /// Begins to open a connection to ip:port; no handler runs before it has returned. Never returns null; a failure
+    /// is reported by the closed handler.
     EndpointChannelPtr open(const std::string& address, std::chrono::milliseconds timeout, ChannelHandlers);
 
 private:
--- a/daemon/connection/HttpCall.cpp
+++ b/daemon/connection/HttpCall.cpp
@@ -1,7 +1,9 @@
 #include "connection/HttpCall.h"
 
-#include "connection/HttpListener.h"
+#include "connection/ClientConnection.h"
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <stdexcept>
 
 namespace cassiahollow {
@@ -16,7 +18,7 @@
 struct HttpCalls::Call : boost::intrusive_ref_counter<HttpCalls::Call, boost::thread_unsafe_counter> {
     HttpCallRequest request_;
     Handler handler_;
-    lws* wsi_ { nullptr };
+    ClientConnection connection_;
     bool bodySent_ { false };
     HttpCallResult result_;
     std::shared_ptr<bool> alive_; ///< Whether the owner of the handler still is.
@@ -27,12 +29,19 @@
             handler(result_);
     }
 
+    // The connection is gone; drops the reference that the loop held.
+    void ended()
+    {
+        finish();
+        intrusive_ptr_release(this);
+    }
+
     int addHeaders(void* in, std::size_t length)
     {
         auto** position = static_cast<unsigned char**>(in);
         unsigned char* end = *position + length;
         const auto add = [&](const std::string& name, const std::string& value) {
-            return lws_add_http_header_by_name(wsi_, reinterpret_cast<const unsigned char*>(name.c_str()),
+            return lws_add_http_header_by_name(connection_.wsi_, reinterpret_cast<const unsigned char*>(name.c_str()),
                        reinterpret_cast<const unsigned char*>(value.data()), static_cast<int>(value.size()), position,
                        end)
                 != 0;
@@ -45,8 +54,8 @@
             return 0;
         if (add("content-type:", "application/json") || add("content-length:", std::to_string(request_.body_.size())))
             return -1;
-        lws_client_http_body_pending(wsi_, 1);
-        lws_callback_on_writable(wsi_);
+        lws_client_http_body_pending(connection_.wsi_, 1);
+        lws_callback_on_writable(connection_.wsi_);
         return 0;
     }
 
@@ -57,9 +66,9 @@
         bodySent_ = true;
         std::string buffer(LWS_PRE, '\0');
         buffer.append(request_.body_);
-        lws_client_http_body_pending(wsi_, 0);
-        return lws_write(wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, request_.body_.size(),
-                   LWS_WRITE_HTTP_FINAL)
+        lws_client_http_body_pending(connection_.wsi_, 0);
+        return lws_write(connection_.wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE,
+                   request_.body_.size(), LWS_WRITE_HTTP_FINAL)
                 < 0
             ? -1
             : 0;
@@ -91,41 +100,20 @@
     call->request_ = std::move(request);
     call->handler_ = std::move(handler);
     call->alive_ = alive_;
-    const auto parts = splitAddress(call->request_.address_);
-    lws* wsi = nullptr;
-    if (parts) {
-        lws_client_connect_info info {};
-        const std::string host = parts->first;
-        info.context = loop_.context();
-        info.vhost = vhost_;
-        info.address = host.c_str();
-        info.port = parts->second;
-        info.path = call->request_.path_.c_str();
-        info.host = host.c_str();
-        info.origin = host.c_str();
-        info.method = call->request_.method_.c_str();
-        info.protocol = protocolName;
-        info.local_protocol_name = protocolName;
-        info.alpn = "http/1.1";
-        info.userdata = call.get();
-        info.pwsi = &wsi;
-        intrusive_ptr_add_ref(call.get()); // Released in WSI_DESTROY.
-        lws_client_connect_via_info(&info);
-        if (!wsi && call->handler_)
-            intrusive_ptr_release(call.get());
-    }
-    if (!wsi) {
-        // The caller is told later, so that the handler never runs inside call().
-        loop_.schedule(Clock::now(), [call] { call->finish(); });
-        return;
-    }
-    call->wsi_ = wsi;
+    intrusive_ptr_add_ref(call.get()); // Released by ended().
+    startConnecting(loop_, vhost_, call->connection_,
+        { .address_ = call->request_.address_,
+            .protocol_ = protocolName,
+            .method_ = call->request_.method_.c_str(),
+            .path_ = call->request_.path_,
+            .alpn_ = "http/1.1" },
+        call.get(), { .opened_ = {}, .ended_ = [call] { call->ended(); } });
     loop_.schedule(Clock::now() + timeout, [call] {
         if (!call->handler_)
             return;
         call->finish();
-        if (call->wsi_)
-            lws_set_timeout(call->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+        if (call->connection_.wsi_)
+            lws_set_timeout(call->connection_.wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
     });
 }
 
@@ -137,7 +125,7 @@
     const boost::intrusive_ptr<Call> call(raw);
     switch (reason) {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
-        call->wsi_ = wsi;
+        call->connection_.wsi_ = wsi;
         return call->addHeaders(in, length);
     case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
         return call->writeBody();
@@ -147,13 +135,9 @@
         return -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
-        call->finish();
-        return 0;
     case LWS_CALLBACK_WSI_DESTROY:
-        lws_set_wsi_user(wsi, nullptr);
-        call->wsi_ = nullptr;
-        call->finish();
-        intrusive_ptr_release(raw);
+        if (!holdBackEnded(call->connection_, wsi))
+            call->ended();
         return 0;
     default:
         return 0;
--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -26,7 +26,7 @@
         return;
     outgoing_.append(bytes);
     if (open_)
-        lws_callback_on_writable(wsi_);
+        lws_callback_on_writable(connection_.wsi_);
 }
 
 void LineChannel::close()
@@ -35,15 +35,20 @@
         return;
     abandoned_ = true;
     handlers_ = {};
-    if (wsi_ && !ended_)
-        lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+    kill();
+}
+
+void LineChannel::kill()
+{
+    if (connection_.wsi_)
+        lws_set_timeout(connection_.wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
 }
 
 void LineChannel::closeWhenSent()
 {
     closing_ = true;
-    if (wsi_ && open_ && !ended_)
-        lws_callback_on_writable(wsi_);
+    if (connection_.wsi_ && open_ && !ended_)
+        lws_callback_on_writable(connection_.wsi_);
 }
 
 void LineChannel::ended()
@@ -51,7 +56,7 @@
     if (std::exchange(ended_, true))
         return;
     open_ = false;
-    wsi_ = nullptr;
+    connection_.wsi_ = nullptr;
     const auto closed = std::move(handlers_.closed_);
     handlers_ = {};
     if (closed)
@@ -61,7 +66,7 @@
 
 void LineChannel::setSocketTimeouts()
 {
-    const int descriptor = lws_get_socket_fd(wsi_);
+    const int descriptor = lws_get_socket_fd(connection_.wsi_);
     const auto timeout = static_cast<unsigned>(silence_.count());
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
     const int on = 1;
@@ -75,7 +80,8 @@
         return 0;
     switch (reason) {
     case LWS_CALLBACK_RAW_CONNECTED:
-        channel->wsi_ = wsi;
+        if (holdBackOpened(channel->connection_, wsi))
+            return 0;
         [[fallthrough]];
     case LWS_CALLBACK_RAW_RX:
     case LWS_CALLBACK_RAW_WRITEABLE: {
@@ -85,9 +91,8 @@
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_RAW_CLOSE:
     case LWS_CALLBACK_WSI_DESTROY:
-        // More callbacks may follow for this socket, after the channel is gone.
-        lws_set_wsi_user(wsi, nullptr);
-        channel->ended();
+        if (!holdBackEnded(channel->connection_, wsi))
+            channel->ended();
         return 0;
     default:
         return 0;
@@ -98,20 +103,31 @@
 {
     if (abandoned_)
         return -1;
-    if (reason == LWS_CALLBACK_RAW_CONNECTED) {
-        open_ = true;
-        setSocketTimeouts();
-        if (!outgoing_.empty())
-            lws_callback_on_writable(wsi_);
-        if (handlers_.opened_)
-            handlers_.opened_();
-        return abandoned_ ? -1 : 0;
-    }
+    if (reason == LWS_CALLBACK_RAW_CONNECTED)
+        return opened();
     if (reason == LWS_CALLBACK_RAW_RX)
         return receive({ in, length });
     return write();
 }
 
+int LineChannel::opened()
+{
+    open_ = true;
+    setSocketTimeouts();
+    if (!outgoing_.empty())
+        lws_callback_on_writable(connection_.wsi_);
+    if (handlers_.opened_)
+        handlers_.opened_();
+    return abandoned_ ? -1 : 0;
+}
+
+// The report was held back until open() had returned.
+void LineChannel::openedLate()
+{
+    if (!ended_ && !abandoned_ && opened() < 0)
+        kill();
+}
+
 int LineChannel::receive(std::string_view bytes)
 {
     const auto received = handlers_.received_; // The handler may close the channel and drop its handlers.
@@ -149,10 +165,10 @@
     buffer.append(outgoing_);
     const auto size = outgoing_.size();
     outgoing_.clear();
-    if (lws_write(wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, size, LWS_WRITE_RAW) < 0)
+    if (lws_write(connection_.wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, size, LWS_WRITE_RAW) < 0)
         return -1;
     if (closing_)
-        lws_callback_on_writable(wsi_);
+        lws_callback_on_writable(connection_.wsi_);
     return 0;
 }
 
@@ -176,36 +192,13 @@
     LineChannelPtr channel(new LineChannel);
     channel->handlers_ = std::move(handlers);
     channel->silence_ = silence;
-    intrusive_ptr_add_ref(channel.get());
-    const auto parts = splitAddress(address);
-    lws* wsi = nullptr;
-    if (parts) {
-        const std::string host = parts->first;
-        lws_client_connect_info info {};
-        info.context = loop_.context();
-        info.vhost = vhost_;
-        info.address = host.c_str();
-        info.port = parts->second;
-        info.path = "/";
-        info.host = host.c_str();
-        info.origin = host.c_str();
-        info.method = "RAW";
-        info.protocol = clientProtocol;
-        info.local_protocol_name = clientProtocol;
-        info.userdata = channel.get();
-        info.pwsi = &wsi;
-        lws_client_connect_via_info(&info);
-    }
-    if (!wsi || channel->ended_) {
-        // The owner is told later, because it does not hold the channel yet.
-        if (!channel->ended_)
-            loop_.schedule(Clock::now(), [channel] { channel->ended(); });
-        return channel;
-    }
-    channel->wsi_ = wsi;
+    intrusive_ptr_add_ref(channel.get()); // Released by ended().
+    startConnecting(loop_, vhost_, channel->connection_,
+        { .address_ = address, .protocol_ = clientProtocol, .method_ = "RAW" }, channel.get(),
+        { .opened_ = [channel] { channel->openedLate(); }, .ended_ = [channel] { channel->ended(); } });
     loop_.schedule(Clock::now() + timeout, [channel] {
-        if (!channel->open_ && !channel->ended_ && channel->wsi_)
-            lws_set_timeout(channel->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+        if (!channel->open_)
+            channel->kill();
     });
     return channel;
 }
@@ -247,7 +240,7 @@
             return -1;
         LineChannelPtr channel(new LineChannel);
         intrusive_ptr_add_ref(channel.get());
-        channel->wsi_ = wsi;
+        channel->connection_.wsi_ = wsi;
         channel->open_ = true;
         channel->silence_ = clientSilence;
         channel->setSocketTimeouts();
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiahollow/process/Reasons.h"
+#include "connection/ClientConnection.h"
 #include "process/EventLoop.h"
 
 #include <boost/leaf.hpp>
@@ -50,10 +51,13 @@
     int handle(lws_callback_reasons, const char* in, std::size_t length);
     int receive(std::string_view);
     int write();
+    int opened();
+    void openedLate();
+    void kill();
     void setSocketTimeouts();
     void ended();
 
-    lws* wsi_ { nullptr };
+    ClientConnection connection_; ///< Of a channel in either direction.
     bool open_ { false };
     bool ended_ { false };
     bool abandoned_ { false };
@@ -74,8 +78,9 @@
     LineSockets(const LineSockets&) = delete;
     LineSockets& operator=(const LineSockets&) = delete;
 
-    /// Starts to connect. closed_ is called if the connection is not open within `timeout`; `silence` is how long sent
-    /// bytes may stay unacknowledged by the other end before the connection counts as lost.
+    /// Starts to connect; no handler runs before it has returned. closed_ is called if the connection is not open
+    /// within `timeout`; `silence` is how long sent bytes may stay unacknowledged by the other end before the
+    /// connection counts as lost.
     LineChannelPtr open(const std::string& address, std::chrono::milliseconds timeout,
         std::chrono::milliseconds silence, LineChannelHandlers);
 
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -62,6 +62,26 @@
     CHECK(writesWithin(deployment, 1, "receipts", 5s));
 }
 
+// Guards against one report of another writer, with an address to which connect() fails at once, that ends all entry
+// instances.
+TEST_CASE("a reported address that cannot be connected to ends no instance")
+{
+    NodeDeployment deployment(3, 2);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    const std::string report
+        = R"({"Service":"returns","Address":"127.255.255.255:8080","Zone":"a","Version":"v1","Slots":2,)"
+          R"("State":"ready","WarmupLeftMs":0,"DbRole":"replica","Seq":1,"born":1700000000000})";
+    REQUIRE(callNode("PUT", deployment.controls()[0].address_, "/api/instances/i-odd", report).status_ == 200);
+    // Instances learn of it within a second, and connect at once.
+    for (const auto end = Clock::now() + 3s; Clock::now() < end; std::this_thread::sleep_for(100ms)) {
+        for (std::size_t i = 0; i < deployment.entries().size(); ++i) {
+            REQUIRE(deployment.entries()[i].process_->isRunning());
+            CHECK(writesWithin(deployment, i, "receipts", 1s));
+        }
+    }
+}
+
 // Guards against a configuration that is acknowledged and then lost, goes back, or is not in force.
 TEST_CASE("an acknowledged configuration survives the loss of each control member and of all at once")
 {
