--- a/tests/PlatformDocumentsTest.cpp
+++ b/tests/PlatformDocumentsTest.cpp
@@ -169,6 +169,32 @@
         != std::string::npos);
 }
 
+// Guards against a configuration without its routes that is acknowledged and drops every route.
+TEST_CASE("a configuration whose lists or limits are of another type is refused")
+{
+    const auto refusal = [](const std::string& document) {
+        const auto failure = failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(platform::decodeCatalog(document));
+            return {};
+        });
+        return failure ? failure->detail_ : std::string();
+    };
+    CHECK(refusal(R"({"Version":7,"Routes":[],"Services":[],"Limits":{}})").empty());
+    for (const auto* value : { "null", "{}", "7", "\"none\"", "true" }) {
+        CAPTURE(value);
+        const std::string other(value);
+        CHECK(refusal(R"({"Version":7,"Routes":)" + other + R"(,"Services":[]})").find("Routes") != std::string::npos);
+        CHECK(refusal(R"({"Version":7,"Routes":[],"Services":)" + other + "}").find("Services") != std::string::npos);
+    }
+    for (const auto* value : { "null", "[]", "1.5", "\"none\"" }) {
+        CAPTURE(value);
+        const std::string other(value);
+        CHECK(refusal(R"({"Version":7,"Routes":[],"Services":[],"Limits":)" + other + "}").find("Limits")
+            != std::string::npos);
+    }
+    CHECK_FALSE(refusal(R"({"Version":7,"Routes":[null],"Services":[]})").empty());
+}
+
 TEST_CASE("a promotion is ordered with holder and fence")
 {
     const auto call = platform::encodePromote(GroupId("returns"), EndpointId("i-7"), "core-1", 12);
