--- a/tests/PlatformDocumentsTest.cpp
+++ b/tests/PlatformDocumentsTest.cpp
@@ -90,6 +90,8 @@
 TEST_CASE("a heartbeat with missing or mistyped fields names no endpoint")
 {
     const std::vector<std::string> broken { "", "\xff\xfe", "{}", without(heartbeat, "\"Seq\":4", "\"Seq\":\"4\""),
+        without(heartbeat, "\"Version\":\"v1\",", ""), without(heartbeat, "\"v1\"", "7"),
+        without(heartbeat, "\"WarmupLeftMs\":20,", ""), without(heartbeat, "\"Zone\":\"riga-a\",", ""),
         without(heartbeat, "draining", "sleeping"), without(heartbeat, "\"DbRole\":\"primary\",", ""),
         without(heartbeat, "\"Slots\":3", "\"Slots\":0"), without(heartbeat, "\"Slots\":3", "\"Slots\":2.5"),
         without(heartbeat, "\"Service\":\"returns\"", "\"Service\":null"), without(heartbeat, "1700000000000", "1.5") };
@@ -117,7 +119,8 @@
     };
     CHECK(refusal(heartbeat).empty());
     for (const auto* address : { "10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:80x", "10.128.0.9",
-             "a:1", ":80", "10.128.0.999:80", "" }) {
+             "a:1", ":80", "10.128.0.999:80", "", "0.0.0.0:80", "0.1.2.3:80", "224.0.0.1:80", "239.1.2.3:80",
+             "240.0.0.1:80", "255.255.255.255:80" }) {
         CAPTURE(address);
         CHECK(refusal(without(heartbeat, "10.128.0.9:8080", address)).find("Address") != std::string::npos);
     }
