Keep the grants that a control leader knows, and resume no endpoint that has ended

A leader has not applied its newest entry for a moment after each commit, and DutyRunner then dropped all grants: the primary of a group with an unfinished promotion could have been leased in that moment where the authority checks no fences. A resumption without a response was sent again to endpoints that had deregistered, for as long as their record stayed.

PromotionLossTest, PromotionDutyTest, PrimaryLeaseTest and DutyRunnerTest pass.

--- a/daemon/version/DutyRunner.cpp
+++ b/daemon/version/DutyRunner.cpp
@@ -130,9 +130,8 @@
 
 void DutyRunner::setGrants(const PromotionGrants* grants)
 {
-    duty_.granted_.reset();
     if (!grants)
-        return;
+        return; // Those of this time as the leader stay valid.
     auto& granted = duty_.granted_.emplace();
     for (const auto& [group, grant] : *grants)
         granted.emplace(group, grant.endpoint_);
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -129,7 +129,7 @@
                                                         : context.options_.surveyTimeout_;
     }
 
-    std::uint64_t startOf(const TickContext& context, const EndpointId& endpoint)
+    std::uint64_t processStart(const TickContext& context, const EndpointId& endpoint)
     {
         const auto record = context.registry_.records_.find(endpoint);
         return record == context.registry_.records_.end() ? 0 : record->second.startedAtMs_;
@@ -142,7 +142,7 @@
         context.actions_.emplace_back(SurveyAction { endpoint, pauseTerm, request });
         if (pauseTerm == 0)
             return;
-        group.paused_[endpoint] = startOf(context, endpoint);
+        group.paused_[endpoint] = processStart(context, endpoint);
         group.openReplicaOrders_[endpoint] = { request, context.now_, true };
     }
 
@@ -437,7 +437,7 @@
         return context.gate_->mayOrder_ && isUnused;
     }
 
-    // The gate makes sure that no other control leader can order promotions.
+    // Another control leader may have resumed the replicas since. Where there is a gate, it has kept others from it.
     bool isChoiceTooOld(const TickContext& context, const GroupId& id, const GroupPromotion& group)
     {
         return !context.gate_ && synchronousReplicas(context, id) > 0
@@ -611,8 +611,10 @@
             const auto& [endpoint, order] = item;
             if (context.now_ - order.sentAt_ < context.options_.replicaOrderTimeout_)
                 return false;
-            if (!order.isPause_ && context.registry_.records_.contains(endpoint))
-                group.paused_.emplace(endpoint, startOf(context, endpoint)); // Resumed again.
+            const auto record = context.registry_.records_.find(endpoint);
+            const bool isRegistered = record != context.registry_.records_.end() && !record->second.removed_;
+            if (!order.isPause_ && isRegistered)
+                group.paused_.emplace(endpoint, record->second.startedAtMs_); // Resumed again.
             return true;
         });
     }
