Take the positions of paused replicas once they have settled

Cause: the position that comes with the confirmation of a pause need not be final. The databases of the case hand a replica what was sent to it before the pause up to 6 ms later. A commit that was sent between the pauses of two replicas then arrives at one of them after its answer, is acknowledged, and the other one is promoted. PROTOCOL.md says that PAUSE "stops a replica from receiving", which leaves no room for this; but a promotion can outlast it at little cost, so it does.

Change: once enough replicas have confirmed the pause, and pauseSettleTime_ later, the paused ones are asked for their positions again, and only these count.

Test: PromotionLossTest lets replicas receive for their delay after the pause.

--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -139,6 +139,9 @@
     /// Endpoints that may be paused, with the start of the process that was asked to: a restart ends the pause.
     std::map<EndpointId, std::uint64_t> paused_;
     std::set<EndpointId> confirmedPauses_; ///< Endpoints that have confirmed the pause of the current survey.
+    std::optional<TimePoint> pausedSince_; ///< When enough endpoints had confirmed it.
+    bool isRepeatedSurvey_ { false }; ///< Endpoints that had not responded in time were asked again.
+    bool isFinalSurvey_ { false }; ///< The paused endpoints are asked for the positions that they stay at.
     /// Pauses and resumptions without a response, which may still be executed.
     std::map<EndpointId, OpenReplicaOrder> openReplicaOrders_;
     int resumedAll_ { 0 }; ///< How often all replicas were resumed, because an earlier leader may have paused them.
@@ -227,6 +230,9 @@
     /// leader that was frozen for longer may have been replaced, and the replicas resumed. The order is executed before
     /// lateOrderTimeout_ has passed since the choice.
     Duration orderDeadline_ { std::chrono::milliseconds(2500) };
+    /// Time after the confirmation of a pause until the position of a replica is final: it may take over entries that had
+    /// been sent to it before.
+    Duration pauseSettleTime_ { std::chrono::milliseconds(30) };
     /// Time after which a pause or a resumption without a response is not executed any more.
     Duration replicaOrderTimeout_ { std::chrono::seconds(1) };
 };
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -166,10 +166,14 @@
         group.lags_.clear();
         group.pendingResponses_.clear();
         group.confirmedPauses_.clear();
+        group.pausedSince_.reset();
+        group.isFinalSurvey_ = false;
+        group.isRepeatedSurvey_ = false;
         group.granted_.reset();
         group.orderOutcome_.reset();
         if (group.usesPauses_) {
-            // The first survey finds the highest term; the second one pauses the replicas above it.
+            // The first survey finds the highest term; the second one pauses the replicas above it; the third one takes
+            // their positions.
             group.pauseTerm_ = group.highestTerm_ > 0 ? group.highestTerm_ + 1 : 0;
             for (const auto& endpoint : findWitnesses(context, id, group))
                 requestPosition(context, group, endpoint, group.pauseTerm_);
@@ -383,6 +387,48 @@
         return hasEveryAcknowledgedCommit(context.registry_, id, group, synchronousReplicas(context, id));
     }
 
+    // Begins the next survey of a group that uses pauses, if there are enough responses. Returns false after the last
+    // one.
+    bool continueSurveys(TickContext& context, const GroupId& id, GroupPromotion& group)
+    {
+        if (group.isFinalSurvey_)
+            return false;
+        const auto count = countEndpoints(context.registry_, id, group);
+        const auto synchronous = synchronousReplicas(context, id);
+        if (group.pauseTerm_ == 0) {
+            const bool mayPause = group.highestTerm_ > 0 && group.positions_.size() + synchronous >= count;
+            if (mayPause)
+                beginSurvey(context, id, group);
+            return mayPause;
+        }
+        if (group.confirmedPauses_.size() + synchronous < count)
+            return false;
+        if (!group.pausedSince_)
+            group.pausedSince_ = context.now_;
+        if (context.now_ - *group.pausedSince_ < context.options_.pauseSettleTime_)
+            return true;
+        group.positions_.clear();
+        for (const auto& endpoint : std::exchange(group.confirmedPauses_, {}))
+            requestPosition(context, group, endpoint, 0);
+        group.isFinalSurvey_ = true;
+        group.isRepeatedSurvey_ = false;
+        enterPhase(context, group, PromotionPhase::Surveying);
+        return true;
+    }
+
+    // Paused replicas keep their positions, so only those without a response are asked again; once, because longer
+    // pauses hold up the commits of a primary that is alive.
+    void repeatSurvey(TickContext& context, GroupPromotion& group)
+    {
+        if (!group.usesPauses_ || group.pendingResponses_.empty() || group.isRepeatedSurvey_)
+            return abandon(context, group);
+        const auto missing = std::exchange(group.pendingResponses_, {});
+        for (const auto& [endpoint, request] : missing)
+            requestPosition(context, group, endpoint, group.isFinalSurvey_ ? 0 : group.pauseTerm_);
+        group.isRepeatedSurvey_ = true;
+        enterPhase(context, group, PromotionPhase::Surveying);
+    }
+
     const RegisteredEndpoint* findBestTarget(const TickContext& context, const GroupId& id, GroupPromotion& group)
     {
         const auto pending = pendingTarget(context, id, group);
@@ -411,19 +457,18 @@
         // A primary that does not answer will not confirm that it has stopped either.
         if (synchronous > 0 && !group.usesPauses_ && !group.positions_.contains(group.primary_))
             return surveyWithPauses(context, id, group);
-        const bool mayPause = group.highestTerm_ > 0
-            && group.positions_.size() + synchronous >= countEndpoints(context.registry_, id, group);
-        if (group.usesPauses_ && group.pauseTerm_ == 0 && mayPause)
-            return beginSurvey(context, id, group);
+        if (group.usesPauses_ && continueSurveys(context, id, group))
+            return;
         const auto* best = findBestTarget(context, id, group);
         group.target_ = best ? best->id_ : EndpointId();
         // With synchronous replicas, the grants of earlier leaders say which of their orders may still be executed.
         const bool areOrdersKnown = synchronous == 0 || context.duty_.granted_;
-        const bool isProven = !group.usesPauses_ || hasAcknowledgedCommits(context, id, group);
+        const bool isProven
+            = !group.usesPauses_ || (group.isFinalSurvey_ && hasAcknowledgedCommits(context, id, group));
         if (!best || !areOrdersKnown || !isProven) {
             group.refusedTargets_.clear();
             if (isTimedOut)
-                abandon(context, group);
+                repeatSurvey(context, group);
             return;
         }
         requestGrant(context, id, group);
--- a/tests/PromotionLossTest.cpp
+++ b/tests/PromotionLossTest.cpp
@@ -48,6 +48,7 @@
     Term held_ { 1 };
     bool leads_ { false };
     bool isPaused_ { false };
+    TimePoint pausedAt_; ///< What was sent to it before still arrives.
     bool isLeaving_ { false };
     TimePoint leavesAt_; ///< When it ends, unless it leads then.
     std::string address_; ///< Kept by its successor.
@@ -200,11 +201,13 @@
         for (auto& [id, database] : databases_) {
             if (id == *leader)
                 continue;
-            const bool receives = !isDown(database) && !database.isPaused_ && now_ >= database.deafUntil_
+            const bool isPaused = database.isPaused_ && now_ - database.pausedAt_ > database.delay_;
+            const bool receives = !isDown(database) && !isPaused && now_ >= database.deafUntil_
                 && !isCut(nodeOf(*leader), nodeOf(id)) && !isCut(nodeOf(id), nodeOf(*leader));
             if (receives) {
                 auto next = alignTo(database.log_, leading.log_);
-                for (; next < leading.log_.size() && leading.log_[next].time_ + database.delay_ <= now_; ++next)
+                const auto sentBy = std::min(now_ - database.delay_, database.isPaused_ ? database.pausedAt_ : now_);
+                for (; next < leading.log_.size() && leading.log_[next].time_ <= sentBy; ++next)
                     database.log_.push_back(leading.log_[next]);
             }
             // What it confirmed before stays confirmed; the primary learns of it only while it reaches it.
@@ -386,6 +389,7 @@
     {
         ask(index, action.endpoint_, action.request_, [this, term = action.pauseTerm_](Database& database) {
             if (term > database.term_ && !database.leads_) {
+                database.pausedAt_ = database.isPaused_ ? database.pausedAt_ : now_;
                 database.isPaused_ = true;
                 database.held_ = term;
             }
