--- a/daemon/connection/HttpCall.h
+++ b/daemon/connection/HttpCall.h
@@ -33,8 +33,8 @@
     HttpCalls(const HttpCalls&) = delete;
     HttpCalls& operator=(const HttpCalls&) = delete;
 
-    /// The handler is called exactly once, on the loop's thread, after `timeout` at the latest; not after the
-    /// end of this object.
+    /// The handler is called exactly once, on the loop's thread and never inside call(), after `timeout` at the latest;
+    /// not after the end of this object.
     void call(HttpCallRequest, std::chrono::milliseconds timeout, Handler);
 
 private:
--- a/include/cassiahollow/version/PromotionDuty.h
+++ b/include/cassiahollow/version/PromotionDuty.h
@@ -230,8 +230,8 @@
     /// leader that was frozen for longer may have been replaced, and the replicas resumed. The order is executed before
     /// lateOrderTimeout_ has passed since the choice.
     Duration orderDeadline_ { std::chrono::milliseconds(2500) };
-    /// Time after the confirmation of a pause until the position of a replica is final: it may take over entries that had
-    /// been sent to it before.
+    /// Time after the confirmation of a pause until the position of a replica is final: it may take over entries that
+    /// had been sent to it before.
     Duration pauseSettleTime_ { std::chrono::milliseconds(30) };
     /// Time after which a pause or a resumption without a response is not executed any more.
     Duration replicaOrderTimeout_ { std::chrono::seconds(1) };
