Give a heartbeat of NodeTest all of its fields

"A control member without a majority reads nothing back" sent a heartbeat without Version and WarmupLeftMs and expected 503. The heartbeat is whole now, and the check is the same: 503.

--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -148,10 +148,10 @@
     deployment.controls()[1].process_->stop();
     std::this_thread::sleep_for(1500ms);
     CHECK(callNode("GET", deployment.controls()[2].address_, "/api/config", {}, 2s).status_ == 503);
-    CHECK(
-        callNode("PUT", deployment.controls()[2].address_, "/api/instances/i-9",
-            R"({"Service":"returns","Address":"127.0.0.1:9","Zone":"a","Slots":1,"State":"ready","DbRole":"replica","Seq":1})")
-            .status_
+    CHECK(callNode("PUT", deployment.controls()[2].address_, "/api/instances/i-9",
+              R"({"Service":"returns","Address":"127.0.0.1:9","Zone":"a","Version":"v1","Slots":1,)"
+              R"("State":"ready","WarmupLeftMs":0,"DbRole":"replica","Seq":1})")
+              .status_
         == 503);
     deployment.controls()[0].process_->resume();
     deployment.controls()[1].process_->resume();
