Read client accounts from the configuration

Two accounts that share a key make a configuration invalid. A configuration without accounts behaves as before.

--- a/include/cassiahollow/process/Types.h
+++ b/include/cassiahollow/process/Types.h
@@ -49,6 +49,8 @@
 using ServiceId = Name<struct ServiceTag>;
 /// A kind of request with a weight, within a service.
 using ClassId = Name<struct ClassTag>;
+/// Whom a client belongs to. Its name is told to endpoints; its keys are not.
+using AccountId = Name<struct AccountTag>;
 
 /// Number of a process start; increases with each start of the same instance.
 using Incarnation = std::uint64_t;
--- a/include/cassiahollow/version/RouteCatalog.h
+++ b/include/cassiahollow/version/RouteCatalog.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "cassiahollow/process/Types.h"
+#include "cassiahollow/version/ClientAccounts.h"
 
 #include <boost/leaf/result.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,7 @@
     std::chrono::milliseconds objective_ { 1000 }; ///< The latency objective of a whole operation.
     std::chrono::milliseconds maxAge_ { 0 };
     int priority_ { 0 }; ///< 0 is the highest.
+    bool isPublic_ { false }; ///< Clients need no key, and belong to no account.
 
     bool operator==(const Route&) const = default;
 };
@@ -49,6 +52,8 @@
     std::uint64_t version_ { 0 };
     std::vector<Route> routes_;
     std::vector<GroupRules> groups_;
+    /// Nothing if the deployment has no client accounts; no key is checked then.
+    std::optional<ClientAccounts> accounts_;
     std::chrono::milliseconds idleTransaction_ { 3000 }; ///< A transaction that is idle for longer may be aborted.
 
     bool operator==(const RouteCatalog&) const = default;
--- a/tests/PlatformDocumentsTest.cpp
+++ b/tests/PlatformDocumentsTest.cpp
@@ -79,6 +79,51 @@
     }
 }
 
+// Guards against keys that identify the wrong account, and against accounts that are checked where there are none.
+TEST_CASE("client accounts are read with the digests of their keys")
+{
+    const auto decode = [](const std::string& document) {
+        std::optional<RouteCatalog> catalog;
+        REQUIRE_FALSE(failureOf([&]() -> boost::leaf::result<void> {
+            BOOST_LEAF_ASSIGN(catalog, platform::decodeCatalog(document));
+            return {};
+        }));
+        return *catalog;
+    };
+    CHECK_FALSE(decode(configuration).accounts_);
+    CHECK_FALSE(decode(configuration).routes_[0].isPublic_);
+    const std::string accounts = R"("Tenants":[{"Name":"grid","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":371,
+"Burst":40.5},{"Name":"depot","ApiKeys":[]}],"Limits")";
+    auto document = without(configuration, "\"Limits\"", accounts);
+    document = without(document, "\"MaxAttempts\":2", "\"MaxAttempts\":2,\"Public\":true");
+    const auto catalog = decode(document);
+    CHECK(catalog.routes_[0].isPublic_);
+    REQUIRE(catalog.accounts_);
+    const auto* grid = findAccount(*catalog.accounts_, digestOf("k2"));
+    REQUIRE(grid);
+    CHECK(grid->name_ == AccountId("grid"));
+    CHECK(grid->quota_ == QuotaLimit { 371, 40.5 });
+    CHECK_FALSE(findAccount(*catalog.accounts_, digestOf("k3")));
+    CHECK_FALSE(findAccount(*catalog.accounts_, digestOf("")));
+    CHECK_FALSE(catalog.accounts_->accounts_[1].quota_);
+}
+
+// Guards against an ambiguous key, and against an error text that shows a key.
+TEST_CASE("client accounts that cannot be told apart or read are refused without showing keys")
+{
+    for (const std::string accounts : { R"([{"Name":"a","ApiKeys":["secret"]},{"Name":"b","ApiKeys":["secret"]}])",
+             R"([{"Name":"a","ApiKeys":[]},{"Name":"a","ApiKeys":["secret"]}])", R"({"a":["secret"]})",
+             R"([{"Name":"a","ApiKeys":["secret",7]}])", R"([{"Name":"a","ApiKeys":["secret key"]}])",
+             R"([{"Name":"a b","ApiKeys":["secret"]}])", R"([{"Name":"a","ApiKeys":["secret"],"RatePerS":-1}])",
+             R"([{"Name":"a","ApiKeys":["secret"],"RatePerS":5,"Burst":"6"}])", R"([{"Name":"a"}])" }) {
+        INFO(accounts);
+        const auto refusal
+            = catalogRefusal(without(configuration, "\"Limits\"", "\"Tenants\":" + accounts + ",\"Limits\""));
+        CHECK_FALSE(refusal.empty());
+        CHECK(refusal.find("secret") == std::string::npos);
+    }
+}
+
 TEST_CASE("a heartbeat is read into a record")
 {
     std::optional<RegisteredEndpoint> record;
