Announce a started control member to the entry instances of its data centre

Cause: after a loss of power of all machines, entry instances ask the three seeds only. Ruled out: the election and the log, because instances are served from a member's copy before there is a leader. Change: control members keep the entry instances of their data centre in the copy of the directory and send them an empty push when they start. An instance without a catalog asks the sender at once.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -118,6 +118,7 @@
     for (auto& record : copy.records_)
         mergeRecord(registry_, std::move(record));
     instancesBefore_ = copy.instances_;
+    neighboursBefore_ = std::move(copy.neighbours_);
     started_ = Clock::now();
     if (copy.catalog_)
         applyCatalog(std::make_shared<const CatalogDocument>(std::move(*copy.catalog_)));
@@ -135,6 +136,7 @@
         BOOST_LEAF_CHECK(metricsListener_->start());
     }
     startControl();
+    announceStart();
     for (const auto& member : otherMembers())
         sendDirectory(member, RegistryUpdate { {}, true });
     tick();
@@ -290,7 +292,8 @@
 
 void ControlHost::saveDirectory()
 {
-    store_.save(registry_, packed_, expectedInstances(entryInstances().size()), Clock::now());
+    savedNeighbours_ = localInstances();
+    store_.save(registry_, packed_, expectedInstances(entryInstances().size()), savedNeighbours_, Clock::now());
 }
 
 void ControlHost::receive(const Answered& message)
@@ -705,6 +708,28 @@
     return Clock::now() - started_ < returnTime ? std::max(asked, instancesBefore_) : asked;
 }
 
+std::vector<InstanceId> ControlHost::localInstances() const
+{
+    std::set<InstanceId> local;
+    if (Clock::now() - started_ < returnTime)
+        local.insert(neighboursBefore_.begin(), neighboursBefore_.end());
+    for (const auto& [id, dataCentre] : entryInstances()) {
+        if (dataCentre == settings_.dataCentre_)
+            local.insert(id);
+    }
+    return { local.begin(), local.end() };
+}
+
+// Answers the load pattern "all machines start at once": entry instances know only the seeds, and other members may
+// run a few hundred milliseconds earlier than these.
+void ControlHost::announceStart()
+{
+    if (!document_)
+        return;
+    for (const auto& instance : neighboursBefore_)
+        sendDirectory(instance, FeedResponse {});
+}
+
 void ControlHost::sendDirectory(const InstanceId& recipient, const DirectoryMessage& message)
 {
     peers_.send(recipient.value_, PeerMessageKind::Directory, encodeDirectoryMessage(message, Clock::now()));
@@ -809,6 +834,8 @@
     }
     reportImpairment(now);
     pushDueFeeds();
+    if (localInstances() != savedNeighbours_)
+        saveDirectory();
     if (leases_) {
         updateProven();
         leases_->renew();
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -134,6 +134,9 @@
     RegistryUpdate updateWith(std::vector<RegisteredEndpoint>) const;
     static void addNeighbours(FeedResponse&, const EntryInstances&, const EntryInstance&);
     std::size_t expectedInstances(std::size_t asked) const;
+    /// Entry instances of this data centre; after a start, also those of before it.
+    std::vector<InstanceId> localInstances() const;
+    void announceStart();
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
     void spread(std::vector<RegisteredEndpoint>);
     void registryChanged();
@@ -174,6 +177,8 @@
     EntryInstances entryInstances_; ///< As of the last tick.
     TimePoint nextSpread_;
     std::size_t instancesBefore_ { 0 }; ///< Entry instances before the start of this process.
+    std::vector<InstanceId> neighboursBefore_; ///< Those of this data centre.
+    std::vector<InstanceId> savedNeighbours_; ///< As of the last copy of the directory.
     TimePoint started_;
 };
 
--- a/daemon/process/DirectoryStore.cpp
+++ b/daemon/process/DirectoryStore.cpp
@@ -53,7 +53,9 @@
             auto* feed = std::get_if<FeedResponse>(&message);
             if (!feed || !feed->records_)
                 return boost::leaf::new_error(Failure { Reason::MessageMalformed, "not a copy of the directory" });
-            DirectoryCopy copy { std::move(*feed->records_), std::nullopt, feed->instances_ };
+            DirectoryCopy copy { std::move(*feed->records_), std::nullopt, feed->instances_, {} };
+            if (feed->neighbours_)
+                copy.neighbours_ = std::move(*feed->neighbours_);
             for (auto& record : copy.records_)
                 record.receivedAt_ = now;
             if (feed->catalog_) {
@@ -66,11 +68,12 @@
 }
 
 void DirectoryStore::save(const EndpointRegistry& registry, std::shared_ptr<const PackedCatalog> catalog,
-    std::size_t instances, TimePoint now)
+    std::size_t instances, std::vector<InstanceId> neighbours, TimePoint now)
 {
     FeedResponse copy;
     copy.catalog_ = std::move(catalog);
     copy.instances_ = instances;
+    copy.neighbours_ = std::move(neighbours);
     copy.records_.emplace();
     for (const auto& [id, record] : registry.records_)
         copy.records_->push_back(record);
--- a/daemon/process/DirectoryStore.h
+++ b/daemon/process/DirectoryStore.h
@@ -18,6 +18,7 @@
     std::vector<RegisteredEndpoint> records_;
     std::optional<CatalogDocument> catalog_; ///< A committed catalog, perhaps not the newest.
     std::size_t instances_ { 0 }; ///< The entry instances there were.
+    std::vector<InstanceId> neighbours_; ///< Those of the member's data centre.
 };
 
 /// Keeps a copy of the endpoint registry and of the catalog in force in a file, so that control members that all lost
@@ -36,8 +37,8 @@
     DirectoryCopy load(TimePoint now) const;
     /// Replaces the copy soon, and repeats this until it succeeds or a newer copy comes. Does not wait for the disk.
     /// `catalog` may be null.
-    void save(
-        const EndpointRegistry&, std::shared_ptr<const PackedCatalog> catalog, std::size_t instances, TimePoint now);
+    void save(const EndpointRegistry&, std::shared_ptr<const PackedCatalog> catalog, std::size_t instances,
+        std::vector<InstanceId> neighbours, TimePoint now);
 
 private:
     void run();
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -162,6 +162,11 @@
 
 void GatewayTask::receiveFeed(const InstanceId& sender, const FeedResponse& answer)
 {
+    const bool isPush = answer.number_ == 0;
+    if (isPush && !gateway_.hasCatalog() && sender != selection_.selected_) {
+        selectMember(selection_, sender);
+        askNow();
+    }
     const bool wasConfirmed = selection_.isConfirmed_;
     // What a response says is dated by the time of its request.
     const auto asked = askedAt_.find(answer.number_);
--- a/include/cassiahollow/process/MemberSelection.h
+++ b/include/cassiahollow/process/MemberSelection.h
@@ -28,6 +28,9 @@
 /// Selects the next candidate in turn, out of the members and the seeds. Selects none if there are no candidates.
 void selectNextMember(MemberSelection&);
 
+/// Selects a member that has just announced itself, for an instance that has no catalog yet.
+void selectMember(MemberSelection&, const InstanceId&);
+
 /// Records a feed request to the selected member.
 void recordFeedRequest(MemberSelection&);
 
--- a/src/process/MemberSelection.cpp
+++ b/src/process/MemberSelection.cpp
@@ -40,6 +40,12 @@
     selection.unanswered_ = 0;
 }
 
+void selectMember(MemberSelection& selection, const InstanceId& member)
+{
+    selection.selected_ = member;
+    selection.unanswered_ = 0;
+}
+
 void recordFeedRequest(MemberSelection& selection)
 {
     ++selection.unanswered_;
--- a/tests/DirectoryStoreTest.cpp
+++ b/tests/DirectoryStoreTest.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 // Guards against a restarted control member that cannot feed entry instances, or takes the first few for all.
-TEST_CASE("a copy of the directory holds records, catalog and the number of instances")
+TEST_CASE("a copy of the directory holds records, catalog and instances")
 {
     const Folder folder;
     const TimePoint now { 1h };
@@ -41,7 +41,7 @@
     const auto packed = std::make_shared<const PackedCatalog>(packCatalog({ 7, "{\"Version\":7}" }));
     DirectoryStore store(folder.path_ / "directory");
     CHECK(store.load(now).records_.empty());
-    store.save(registry, packed, 106, now);
+    store.save(registry, packed, 106, { InstanceId("10.1.0.1:7"), InstanceId("10.1.0.2:7") }, now);
     DirectoryCopy copy;
     for (int i = 0; i < 500 && copy.records_.empty(); ++i) {
         std::this_thread::sleep_for(10ms);
@@ -54,6 +54,7 @@
     CHECK(copy.catalog_->version_ == 7);
     CHECK(copy.catalog_->document_ == "{\"Version\":7}");
     CHECK(copy.instances_ == 106);
+    CHECK(copy.neighbours_ == std::vector { InstanceId("10.1.0.1:7"), InstanceId("10.1.0.2:7") });
 }
 
 // Guards against a member that does not start, or starts with half a directory, because of a torn copy.
@@ -81,7 +82,7 @@
     };
     {
         const fake::FileSizeLimit limit(0);
-        store.save({}, std::make_shared<const PackedCatalog>(packCatalog({ 8, "{\"Version\":8}" })), 13, now);
+        store.save({}, std::make_shared<const PackedCatalog>(packCatalog({ 8, "{\"Version\":8}" })), 13, {}, now);
         // The attempt that fails leaves its temporary file.
         REQUIRE(waitFor([&] { return std::filesystem::exists(folder.path_ / "directory.new"); }));
         std::this_thread::sleep_for(50ms);
--- a/tests/MemberSelectionTest.cpp
+++ b/tests/MemberSelectionTest.cpp
@@ -92,3 +92,17 @@
     CHECK(selection.selected_.empty());
     CHECK(needsSelection(selection));
 }
+
+// Replays "all machines start at once" where the seeds start last: the instance must not wait for them once another
+// member has announced itself, and must go on from it if that does not answer.
+TEST_CASE("an instance that knows only the seeds asks a member that announces itself")
+{
+    MemberSelection selection;
+    selection.seeds_ = instances({ "seed-1", "seed-2" });
+    selectNextMember(selection);
+    recordFeedRequest(selection);
+    selectMember(selection, InstanceId("other"));
+    CHECK_FALSE(needsSelection(selection));
+    recordFeedRequest(selection);
+    CHECK(membersTried(selection, 4).contains("seed-1"));
+}
