Let holders keep connections where two for each instance do not fit

Ruled out: starts and the election, which were over at 47.06 s, and the catalog. Change: connections count as scarce below two for each instance, so that holders keep them, and lost and new ones fit below the limit together.

--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -144,9 +144,10 @@
 /// and, without a primary, the expected duration of the change of primary.
 std::chrono::milliseconds retryAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary);
 
-/// Whether an endpoint's connection limit is too low for every instance to hold a connection. In that case connections
-/// to primaries are opened on demand and closed soon, control members sample the positions, and each instance prefers
-/// one replica of a group. A limit of 0 means that no limit is set.
+/// Whether an endpoint's connection limit is too low for every instance to hold a connection, also while the endpoint
+/// still counts the connections that were lost when all machines restarted. In that case a few instances hold the
+/// connections for all, or connections to primaries are opened on demand and closed soon, control members sample the
+/// positions, and each instance prefers one replica of a group. A limit of 0 means that no limit is set.
 bool areConnectionsScarce(std::size_t limit, std::size_t instances);
 
 /// The index of the replica that an instance of this rank prefers while connections are scarce.
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -11,6 +11,9 @@
     constexpr double defaultResponseSeconds = 0.02;
     // Connections of an endpoint that are left free for the requests of control members.
     constexpr std::size_t reservedConnections = 1;
+    // After a loss of power, an endpoint counts the connections of before for seconds, beside those that the restarted
+    // instances open.
+    constexpr std::size_t connectionsPerInstance = 2;
     constexpr double minRetryAfterSeconds = 0.05;
     constexpr double maxRetryAfterSeconds = 2;
     // A change of primary takes about this long.
@@ -167,7 +170,7 @@
 
 bool areConnectionsScarce(std::size_t limit, std::size_t instances)
 {
-    return limit > 0 && limit < instances + reservedConnections; // 0: the catalog sets no limit.
+    return limit > 0 && limit < connectionsPerInstance * instances + reservedConnections; // 0: no limit is set.
 }
 
 std::size_t preferredReplica(std::size_t rank, std::size_t replicas)
