Identify clients by their keys

With client accounts in the catalog, the key of a session decides its account when the session starts and again when each operation begins. An unknown key is refused at once and the connection is closed; an isolated instance may have missed a newer catalog and refuses it as overloaded. A newer catalog that has lost a key ends the sessions at a statement boundary: what runs gets its answer, open transactions are rolled back and reported with the next statement. accounts.fail_closed refuses operations that need a key when the last confirmed contact is older than accounts.revoke_ms.

The account travels with forwarded statements, as an appended field that is empty in messages of earlier versions. Endpoint links know their account and state its name instead of the instance's; statements do not choose them by account yet. The stand-in records who opened each connection.

--- a/daemon/connection/EndpointLink.cpp
+++ b/daemon/connection/EndpointLink.cpp
@@ -61,7 +61,8 @@
         { .opened_ = {},
             .received_ = [this](std::string_view bytes) { return receive(bytes); },
             .closed_ = [this] { end(true); } });
-    if (const auto start = platform::encodeStart(target_.group_, target_.instance_, target_.endpoint_)) {
+    const auto& name = target_.account_.empty() ? target_.instance_ : target_.account_.value_;
+    if (const auto start = platform::encodeStart(target_.group_, name, target_.endpoint_)) {
         channel_->send(*start);
     } else {
         reportUnwritable(platform::ownRequest);
--- a/daemon/connection/EndpointLink.h
+++ b/daemon/connection/EndpointLink.h
@@ -50,6 +50,7 @@
         GroupId group_;
         std::string address_;
         std::string instance_;
+        AccountId account_ {}; ///< Whose statements may run on the connection; empty: of clients without an account.
     };
     struct Handlers {
         std::function<void()> ready_; ///< The endpoint has accepted the connection.
@@ -74,6 +75,7 @@
     void abandon();
 
     const EndpointId& endpoint() const { return target_.endpoint_; }
+    const AccountId& account() const { return target_.account_; }
     bool isReady() const { return ready_ && !closed_; }
     bool isClosed() const { return closed_; }
     /// The endpoint had accepted the connection, whatever became of it.
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -41,6 +41,8 @@
     StatementGateway::Options gatewayOptions(const NodeSettings& settings, Incarnation incarnation)
     {
         StatementGateway::Options options { settings.name_, settings.dataCentre_, !settings.authorityChecksFences_ };
+        options.failClosed_ = settings.failClosed_;
+        options.revokeTime_ = settings.revokeTime_;
         if (settings.forward_.empty())
             return options;
         options.self_ = InstanceId(settings.peers_);
@@ -178,6 +180,7 @@
         // The member may have lost its majority since; it says so only after a while.
         if (answer.confirmed_ && requestedAt)
             confirmed_ = std::max(confirmed_, *requestedAt - answer.contactAge_);
+        gateway_.setConfirmedContact(confirmed_);
     }
     if (answer.catalog_ && answer.catalog_->version_ > gateway_.catalogVersion()) {
         boost::leaf::try_handle_all(
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -37,6 +37,13 @@
         reader.refuseUnknownKeys();
     }
 
+    void readAccounts(SettingsReader reader, NodeSettings& settings)
+    {
+        reader.read("fail_closed", settings.failClosed_, false, "true or false");
+        reader.readMilliseconds("revoke_ms", settings.revokeTime_, 100, 3600000);
+        reader.refuseUnknownKeys();
+    }
+
     void readAll(const YAML::Node& root, NodeSettingsFile& file)
     {
         auto& settings = file.settings_;
@@ -59,6 +66,7 @@
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
         reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
+        readAccounts(reader.map("accounts"), settings);
         reader.refuseUnknownKeys();
         if (settings.statements_.empty() == settings.operators_.empty())
             reader.fail(root, "listen", "needs either statements or operators; set one of them");
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds heartbeat_ { 1200 }; ///< The interval at which endpoints report.
     std::chrono::milliseconds shutdown_ { 6000 }; ///< From the signal to the forced end.
     std::size_t maximumFiles_ { 1024 };
+    bool failClosed_ { false }; ///< Without contact to control members, refuse what needs a key.
+    std::chrono::milliseconds revokeTime_ { 5000 }; ///< How old the last contact may be then.
 };
 
 struct NodeSettingsFile {
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -138,6 +138,7 @@
     LogLine(LogKind::Belief, "catalog_applied")
         .with("version", catalog_->version_)
         .with("routes", static_cast<std::uint64_t>(catalog_->routes_.size()));
+    endRemovedKeys();
     startHeld();
     for (const auto& rules : catalog_->groups_) {
         auto& group = groupOf(rules.group_);
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -199,6 +199,7 @@
     request.ownCommit_ = sql.ownCommit_.position_;
     request.ownCommitAge_ = now - sql.ownCommit_.acknowledgedAt_;
     request.values_ = sql.values_;
+    request.account_ = job.session_->account_;
     return request;
 }
 
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -94,6 +94,7 @@
     session->peer_ = peer;
     session->operation_ = request.operation_;
     session->started_ = true;
+    session->account_ = request.account_;
     session->sql_.database_ = request.route_.database_;
     session->sql_.transaction_ = request.opensTransaction_ ? TransactionState::Deferred : TransactionState::None;
     session->sql_.readOnly_ = request.readOnly_;
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -42,7 +42,10 @@
     std::optional<RemoteTransaction> remote_;
     SqlSession sql_;
     bool started_ { false };
-    std::optional<platform::ClientStart> heldStart_; ///< Arrived before this instance had a catalog.
+    std::optional<std::string> heldDatabase_; ///< Of a start that arrived before this instance had a catalog.
+    KeyDigest key_; ///< Of the client's key, which is kept nowhere.
+    AccountId account_; ///< As of the session's last operation; empty without accounts and on public routes.
+    bool isRevoked_ { false }; ///< Its key was removed: the session ends with its statement or transaction.
     bool busy_ { false }; ///< A statement is under way; the next one waits in the channel.
     bool closed_ { false };
     bool wrote_ { false }; ///< The open transaction has sent a write.
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -3,6 +3,8 @@
 #include "process/EventLog.h"
 #include "request/GatewayState.h"
 
+#include <openssl/crypto.h>
+
 // The sessions of the gateway: what clients send, and what is answered without an endpoint.
 namespace cassiahollow {
 
@@ -67,8 +69,8 @@
             break;
         session->used_ = suspendAwareNow();
         auto message = platform::decodeClientLine(*line);
-        if (const auto* start = std::get_if<platform::ClientStart>(&message)) {
-            handle(session, *start);
+        if (auto* start = std::get_if<platform::ClientStart>(&message)) {
+            handle(session, std::move(*start));
         } else if (auto* query = std::get_if<platform::ClientQuery>(&message); query && session->started_) {
             handle(session, std::move(*query));
         } else if (std::holds_alternative<platform::ClientEnd>(message)) {
@@ -92,26 +94,36 @@
     return taken;
 }
 
-void StatementGateway::handle(const SessionPtr& session, const platform::ClientStart& start)
+void StatementGateway::handle(const SessionPtr& session, platform::ClientStart start)
 {
-    if (!catalog_ && !session->started_) {
-        // The session is not known to be wrong; it begins once the catalog has come.
-        session->heldStart_ = start;
-        session->busy_ = true;
-        return;
+    if (!session->started_) {
+        session->key_ = digestOf(start.key_);
+        OPENSSL_cleanse(start.key_.data(), start.key_.size());
     }
-    if (session->started_ || !findRoute(*catalog_, start.database_)) {
+    if (catalog_ || session->started_)
+        return begin(session, start.database_);
+    // The session is not known to be wrong; it begins once the catalog has come.
+    session->heldDatabase_ = std::move(start.database_);
+    session->busy_ = true;
+}
+
+void StatementGateway::begin(const SessionPtr& session, const std::string& database)
+{
+    const auto* route = session->started_ ? nullptr : findRoute(*catalog_, database);
+    if (!route) {
         metrics_.count(Reason::UnknownService);
-        LogLine(LogKind::Refusal, "session_refused")
-            .with("database", start.database_)
-            .with("catalog", catalogVersion());
-        session->channel_->send(platform::encodeError(StatementError::UnknownDatabase, start.database_));
+        LogLine(LogKind::Refusal, "session_refused").with("database", database).with("catalog", catalogVersion());
+        session->channel_->send(platform::encodeError(StatementError::UnknownDatabase, database));
         session->channel_->closeWhenSent();
         sessionClosed(session);
         return;
     }
+    const auto account = accountFor(*catalog_, *route, session->key_);
+    if (!account)
+        return refuseKey(session, database);
+    session->account_ = *account;
     session->started_ = true;
-    session->sql_.database_ = start.database_;
+    session->sql_.database_ = database;
     session->channel_->send(platform::encodeReady(SessionMark::Idle, {}));
 }
 
@@ -119,15 +131,92 @@
 {
     std::vector<SessionPtr> held;
     std::copy_if(sessions_.begin(), sessions_.end(), std::back_inserter(held),
-        [](const SessionPtr& session) { return session->heldStart_.has_value(); });
+        [](const SessionPtr& session) { return session->heldDatabase_.has_value(); });
     for (const auto& session : held) {
         session->busy_ = false;
-        handle(session, *std::exchange(session->heldStart_, std::nullopt));
+        begin(session, *std::exchange(session->heldDatabase_, std::nullopt));
         if (!session->closed_)
             session->channel_->offer();
     }
 }
 
+bool StatementGateway::isContactTooOld() const
+{
+    return options_.failClosed_ && suspendAwareNow() - confirmedContact_ > options_.revokeTime_;
+}
+
+// Refuses a key that the catalog does not have, and ends the session. The catalog may be out of date at an instance
+// that has lost contact, so the client is told to try another one then.
+void StatementGateway::refuseKey(const SessionPtr& session, std::string_view database)
+{
+    const bool mayBeKnown = isolated_ || isContactTooOld();
+    const auto reason = mayBeKnown ? Reason::KeysUnconfirmed : Reason::UnknownKey;
+    metrics_.count(reason);
+    LogLine(LogKind::Refusal, "session_refused")
+        .with("cause", reasonInfo(reason).name_)
+        .with("database", database)
+        .with("catalog", catalogVersion());
+    session->channel_->send(mayBeKnown
+            ? platform::encodeError(StatementError::Overloaded, "not run, the key may be newer than this instance")
+            : platform::encodeError(StatementError::UnknownKey, "the key is unknown"));
+    session->channel_->closeWhenSent();
+    sessionClosed(session);
+}
+
+// Checks the key of a session whose next operation begins, and assigns the account. False if it was refused.
+bool StatementGateway::identify(const SessionPtr& session)
+{
+    auto account = accountFor(*catalog_, *session->route_, session->key_);
+    if (!account) {
+        refuseKey(session, session->sql_.database_);
+        return false;
+    }
+    session->account_ = std::move(*account);
+    if (session->account_.empty() || !isContactTooOld())
+        return true;
+    metrics_.count(Reason::KeysUnconfirmed);
+    refuse(session, StatementError::Overloaded, "not run, this instance has lost contact; use another one");
+    return false;
+}
+
+// Ends the sessions whose key the catalog has lost, each at the end of its statement.
+void StatementGateway::endRemovedKeys()
+{
+    std::vector<SessionPtr> revoked;
+    for (const auto& session : sessions_) {
+        // A session without an account is asked for its key when its next operation begins.
+        if (!session->channel_ || session->account_.empty() || session->isRevoked_)
+            continue;
+        const auto* route = findRoute(*catalog_, session->sql_.database_);
+        if (!accountFor(*catalog_, route ? *route : Route(), session->key_))
+            revoked.push_back(session);
+    }
+    if (revoked.empty())
+        return;
+    LogLine(LogKind::Belief, "keys_removed")
+        .with("catalog", catalogVersion())
+        .with("sessions", static_cast<std::uint64_t>(revoked.size()));
+    for (const auto& session : revoked) {
+        metrics_.count(Reason::KeyRemoved);
+        session->isRevoked_ = true;
+        if (!session->busy_)
+            endRevoked(session);
+    }
+}
+
+// Closes a session with a removed key, or rolls its transaction back: the client learns that with its next statement.
+void StatementGateway::endRevoked(const SessionPtr& session)
+{
+    auto& sql = session->sql_;
+    if (sql.transaction_ == TransactionState::None) {
+        session->channel_->closeWhenSent();
+        return sessionClosed(session);
+    }
+    release(session, true);
+    sql.transaction_ = TransactionState::Failed;
+    session->aborted_ = true;
+}
+
 void StatementGateway::handle(const SessionPtr& session, platform::ClientQuery query)
 {
     auto& sql = session->sql_;
@@ -141,7 +230,7 @@
     }
     // The client takes its transaction for open; the promise that nothing is kept reaches it once.
     if (std::exchange(session->aborted_, false) && statement.kind_ != StatementKind::Rollback) {
-        if (statement.kind_ == StatementKind::Commit)
+        if (statement.kind_ == StatementKind::Commit || session->isRevoked_)
             sql.transaction_ = TransactionState::None;
         refuse(session, StatementError::Aborted, "the transaction was ended");
         return sql.transaction_ == TransactionState::None ? finishOperation(session) : void();
@@ -154,6 +243,8 @@
             metrics_.count(Reason::UnknownService);
             return refuse(session, StatementError::UnknownDatabase, sql.database_);
         }
+        if (!identify(session))
+            return;
     }
     switch (statement.kind_) {
     case StatementKind::Begin:
@@ -304,8 +395,11 @@
 void StatementGateway::finishOperation(const SessionPtr& session)
 {
     session->used_ = suspendAwareNow();
-    if (!session->channel_ || !shuttingDown_ || session->closed_ || session->sql_.transaction_ != TransactionState::None
-        || session->busy_)
+    if (!session->channel_ || session->closed_ || session->busy_)
+        return;
+    if (session->isRevoked_)
+        return endRevoked(session);
+    if (!shuttingDown_ || session->sql_.transaction_ != TransactionState::None)
         return;
     session->channel_->closeWhenSent();
     sessionClosed(session);
@@ -315,8 +409,11 @@
 {
     const auto now = suspendAwareNow();
     std::vector<SessionPtr> endedPeers;
+    std::vector<SessionPtr> endedRevoked;
     for (const auto& session : sessions_) {
         auto& sql = session->sql_;
+        if (session->isRevoked_ && !session->busy_ && now - session->used_ > session->catalog_->idleTransaction_)
+            endedRevoked.push_back(session);
         if (sql.transaction_ != TransactionState::Open || session->busy_)
             continue;
         const bool isIdle = now - session->used_ > session->catalog_->idleTransaction_;
@@ -332,6 +429,11 @@
         if (session->peer_)
             endedPeers.push_back(session);
     }
+    // Their transactions were rolled back, and no next statement came.
+    for (const auto& session : endedRevoked) {
+        session->channel_->closeWhenSent();
+        sessionClosed(session);
+    }
     // The peer learns it with its next statement, whose operation is not known then.
     for (const auto& session : endedPeers) {
         session->peer_->operations_.erase(session->operation_);
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -34,6 +34,8 @@
         Incarnation incarnation_ { 0 };
         std::string forwardPort_; ///< Where all instances take statements of others.
         std::string deploymentKey_;
+        bool failClosed_ { false }; ///< Refuses operations that need a key when the last contact is older than this:
+        std::chrono::milliseconds revokeTime_ { 5000 };
     };
 
     StatementGateway(EventLoop&, Metrics&, Options);
@@ -46,6 +48,8 @@
 
     /// A newer catalog. Statements that are under way go on with the one they began with.
     void setCatalog(std::shared_ptr<const RouteCatalog>);
+    /// When control members last confirmed what this instance knows.
+    void setConfirmedContact(TimePoint contact) { confirmedContact_ = contact; }
     /// The endpoints as control members know them, and this instance's place among the instances.
     void setEndpoints(const std::vector<RegisteredEndpoint>&);
     void setShare(std::size_t instances, std::size_t rank);
@@ -101,7 +105,8 @@
 
     // Sessions.
     std::size_t receive(const SessionPtr&, std::string_view);
-    void handle(const SessionPtr&, const platform::ClientStart&);
+    void handle(const SessionPtr&, platform::ClientStart);
+    void begin(const SessionPtr&, const std::string& database);
     void handle(const SessionPtr&, platform::ClientQuery);
     void startHeld();
     void beginTransaction(const SessionPtr&, bool readOnly);
@@ -113,6 +118,11 @@
     void release(const SessionPtr&, bool rollback);
     void sessionClosed(const SessionPtr&);
     void finishOperation(const SessionPtr&);
+    bool identify(const SessionPtr&);
+    void refuseKey(const SessionPtr&, std::string_view database);
+    bool isContactTooOld() const;
+    void endRemovedKeys();
+    void endRevoked(const SessionPtr&);
     void endIdleTransactions();
     void closeResting();
 
@@ -240,6 +250,7 @@
     LeaseView leases_;
     bool hadLeases_ { false }; ///< Leases were valid at the last tick.
     std::function<void()> reportHandler_;
+    TimePoint confirmedContact_;
     bool shuttingDown_ { false };
     bool isolated_ { false };
     bool sendAway_ { false };
--- a/include/cassiahollow/connection/SqlSession.h
+++ b/include/cassiahollow/connection/SqlSession.h
@@ -51,6 +51,8 @@
     TimedOut, ///< The statement may have run.
     Failed, ///< The statement ran and failed.
     Malformed, ///< The statement could not be parsed or is not allowed in this state.
+    UnknownKey, ///< Not run: no client account has the key.
+    // Values travel between instances of different versions: add new ones here, at the end.
 };
 
 /// Returns whether the error guarantees that no write of the operation is kept.
--- a/include/cassiahollow/request/HolderProtocol.h
+++ b/include/cassiahollow/request/HolderProtocol.h
@@ -36,6 +36,7 @@
     LogPosition ownCommit_; ///< The last commit of the session.
     Duration ownCommitAge_ { 0 };
     std::map<std::string, std::string> values_; ///< All values of the session.
+    AccountId account_; ///< Of the session. Empty without one, and in messages of instances that know no accounts.
 };
 
 /// Ends an operation: its transaction is rolled back, its statement is not needed any more.
--- a/include/cassiahollow/version/RouteCatalog.h
+++ b/include/cassiahollow/version/RouteCatalog.h
@@ -67,6 +67,10 @@
 /// Returns the first route with this database name, or null. The pointer is valid as long as the catalog.
 const Route* findRoute(const RouteCatalog&, const std::string& database);
 
+/// The account that a client with this key uses a route as: empty without accounts and on public routes, nothing if the
+/// key is unknown. The route need not be one of the catalog's any more.
+std::optional<AccountId> accountFor(const RouteCatalog&, const Route&, const KeyDigest&);
+
 /// Returns the rules of a group, or null. The pointer is valid as long as the catalog.
 const GroupRules* findGroup(const RouteCatalog&, const GroupId&);
 
--- a/src/connection/SqlSession.cpp
+++ b/src/connection/SqlSession.cpp
@@ -28,6 +28,7 @@
     case StatementError::NotPrimary:
     case StatementError::WrongEndpoint:
     case StatementError::ConnectionLimit:
+    case StatementError::UnknownKey:
         return true;
     default:
         return false;
--- a/src/request/HolderProtocol.cpp
+++ b/src/request/HolderProtocol.cpp
@@ -27,6 +27,8 @@
 
     // The length of a message, in little-endian order.
     constexpr std::size_t lengthBytes = 4;
+    // Position of the account in a statement; instances of earlier versions leave it out.
+    constexpr std::size_t accountField = 17;
     // Longer times make no difference to any decision, and larger numbers overflow when a time is computed from them.
     constexpr std::int64_t maximumTimeMs = std::chrono::milliseconds(std::chrono::hours(24)).count();
 
@@ -96,7 +98,7 @@
             message.kind_, message.opensTransaction_, message.readOnly_, toMicroseconds(message.age_),
             toMicroseconds(message.operationAge_), std::move(shape), toJson(message.route_), message.catalogVersion_,
             toMicroseconds(message.idleTransaction_), toJson(message.ownCommit_), toMicroseconds(message.ownCommitAge_),
-            std::move(values) });
+            std::move(values), message.account_.value_ });
     }
 
     json toJson(const OperationEnd& message)
@@ -153,6 +155,8 @@
             message.values_.emplace(value.at(0).get<std::string>(), value.at(1).get<std::string>());
         if (message.values_.size() > maximumSessionNames)
             throw std::invalid_argument("too many session values");
+        if (in.size() > accountField)
+            message.account_ = AccountId(in.at(accountField).get<std::string>());
         return message;
     }
 
@@ -161,7 +165,7 @@
         StatementReply message;
         message.number_ = in.at(1).get<std::uint64_t>();
         if (!in.at(2).is_null())
-            message.error_ = enumFrom(in.at(2), StatementError::Malformed);
+            message.error_ = enumFrom(in.at(2), StatementError::UnknownKey);
         message.errorText_ = in.at(3).get<std::string>();
         message.rows_ = in.at(4).get<std::vector<std::string>>();
         message.signature_ = in.at(5).get<std::string>();
--- a/src/version/RouteCatalog.cpp
+++ b/src/version/RouteCatalog.cpp
@@ -46,6 +46,14 @@
     return found == catalog.routes_.end() ? nullptr : &*found;
 }
 
+std::optional<AccountId> accountFor(const RouteCatalog& catalog, const Route& route, const KeyDigest& key)
+{
+    if (!catalog.accounts_ || route.isPublic_)
+        return AccountId();
+    const auto* account = findAccount(*catalog.accounts_, key);
+    return account ? std::optional(account->name_) : std::nullopt;
+}
+
 const GroupRules* findGroup(const RouteCatalog& catalog, const GroupId& group)
 {
     const auto found = std::find_if(
--- a/standin/LineServer.cpp
+++ b/standin/LineServer.cpp
@@ -75,6 +75,7 @@
 
     void handle(std::string line)
     {
+        server_.checkMessage(line);
         const auto word = takeWord(line);
         if (word == "STARTUP")
             return handleStart(line);
@@ -98,6 +99,7 @@
     {
         const auto group = takeWord(line);
         caller_ = takeWord(line);
+        server_.noteCaller(caller_);
         if (server_.isCutFrom(caller_))
             return;
         if (group != server_.group_.name() || (!line.empty() && line != server_.id_.value_))
@@ -207,7 +209,7 @@
         }
         if (transaction_ && plain_ && !server_.group_.isPrimary(server_.id_))
             return error("READONLY", server_.id_.value_);
-        server_.note({ id, whole, transaction_, values_ });
+        server_.note({ id, whole, transaction_, values_, caller_ });
         if (verb == "READ")
             return signedBy(id, "DATAROW " + server_.group_.read(server_.id_, text).value_or("none") + "\r\n");
         if (verb == "WRITE") {
@@ -307,6 +309,33 @@
     return cutFrom_.contains(caller);
 }
 
+std::vector<std::string> LineServer::callers() const
+{
+    const std::lock_guard lock(mutex_);
+    return callers_;
+}
+
+void LineServer::watchFor(const std::string& text)
+{
+    const std::lock_guard lock(mutex_);
+    watched_.insert(text);
+}
+
+void LineServer::noteCaller(const std::string& caller)
+{
+    const std::lock_guard lock(mutex_);
+    callers_.push_back(caller);
+}
+
+void LineServer::checkMessage(const std::string& line)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& text : watched_) {
+        if (line.find(text) != std::string::npos)
+            hasReceivedWatched_ = true;
+    }
+}
+
 void LineServer::note(RanStatement statement)
 {
     const std::lock_guard lock(mutex_);
--- a/standin/LineServer.h
+++ b/standin/LineServer.h
@@ -19,6 +19,7 @@
     std::string text_;
     bool inTransaction_ { false };
     std::map<std::string, std::string> values_; ///< The session values of the connection.
+    std::string caller_; ///< Who opened the connection.
 };
 
 /// Faults of one database. They take effect at once.
@@ -47,12 +48,20 @@
     void cutFrom(const std::string& caller);
     std::vector<RanStatement> ran() const;
     std::size_t connections() const { return connections_; }
+    /// Who opened each connection, in order, with those that were refused.
+    std::vector<std::string> callers() const;
+    /// Looks for a text that must not reach a database in all messages from now on.
+    void watchFor(const std::string& text);
+    /// Whether a message had one of these texts.
+    bool hasReceivedWatched() const { return hasReceivedWatched_; }
 
 private:
     class Session;
 
     void accept();
     void note(RanStatement);
+    void noteCaller(const std::string& caller);
+    void checkMessage(const std::string& line);
     bool isCutFrom(const std::string& caller) const;
 
     LineGroup& group_;
@@ -62,6 +71,9 @@
     std::atomic<std::size_t> connections_ { 0 };
     mutable std::mutex mutex_;
     std::vector<RanStatement> ran_; // guarded by mutex_
+    std::vector<std::string> callers_; // guarded by mutex_
+    std::set<std::string> watched_; // guarded by mutex_
+    std::atomic<bool> hasReceivedWatched_ { false };
     std::set<std::string> cutFrom_; // guarded by mutex_
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/tests/HolderProtocolTest.cpp
+++ b/tests/HolderProtocolTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace cassiahollow;
 using namespace std::chrono_literals;
@@ -44,6 +45,7 @@
     request.ownCommit_ = { 3, 99 };
     request.ownCommitAge_ = 40ms;
     request.values_ = { { "a", "1" }, { "b", "" } };
+    request.account_ = AccountId("ovens");
     return request;
 }
 
@@ -71,6 +73,20 @@
     CHECK(arrived.ownCommit_ == sent.ownCommit_);
     CHECK(arrived.ownCommitAge_ == sent.ownCommitAge_);
     CHECK(arrived.values_ == sent.values_);
+    CHECK(arrived.account_ == sent.account_);
+}
+
+// Guards against an instance that refuses the statements of instances that still run a version without accounts.
+TEST_CASE("a statement of an earlier version has no account")
+{
+    auto fields = nlohmann::json::from_msgpack(encodeHolderMessage(request()).substr(4));
+    fields.erase(fields.size() - 1);
+    std::string bytes;
+    nlohmann::json::to_msgpack(fields, bytes);
+    const auto message = decoded(encodeFrame(bytes));
+    REQUIRE(message);
+    CHECK(std::get<StatementRequest>(*message).account_.empty());
+    CHECK(std::get<StatementRequest>(*message).values_ == request().values_);
 }
 
 TEST_CASE("a reply arrives whole")
--- a/tests/LineProtocolTest.cpp
+++ b/tests/LineProtocolTest.cpp
@@ -88,7 +88,11 @@
 {
     const auto start = std::get<ClientStart>(decodeClientLine("STARTUP lepu270 u3f1"));
     CHECK(start.database_ == "lepu270");
-    CHECK(start.account_ == "u3f1");
+    CHECK(start.key_ == "u3f1");
+    // Guards against a key of which only a part is compared.
+    CHECK(std::get<ClientStart>(decodeClientLine("STARTUP lepu270 u3 f1 ")).key_ == "u3 f1 ");
+    CHECK(std::get<ClientStart>(decodeClientLine("STARTUP lepu270")).key_.empty());
+    CHECK(encodeError(StatementError::UnknownKey, "x") == "ERROR AUTHFAIL x\r\n");
     CHECK(std::holds_alternative<ClientEnd>(decodeClientLine("TERMINATE")));
 
     CHECK(statementOf("BEGIN").kind_ == StatementKind::Begin);
--- a/tests/NodeSettingsTest.cpp
+++ b/tests/NodeSettingsTest.cpp
@@ -46,6 +46,12 @@
     CHECK(peerAddressOf(settings, settings.seeds_[0]) == "10.0.0.9:7440");
     CHECK(settings.toleratedLosses_ == 2);
     CHECK(settings.catchUp_ == std::chrono::milliseconds(2500));
+    CHECK_FALSE(settings.failClosed_);
+    CHECK(settings.revokeTime_ == 5s);
+    const auto closed = load(entry + "accounts: {fail_closed: true, revoke_ms: 2000}\n");
+    REQUIRE(closed.errors_.empty());
+    CHECK(closed.settings_.failClosed_);
+    CHECK(closed.settings_.revokeTime_ == 2s);
 }
 
 // Guards against a process that starts with a settings file that nobody meant.
@@ -55,6 +61,8 @@
     CHECK(load("instance: [").errors_.size() == 1);
     CHECK_FALSE(load(entry + "speed: fast\n").errors_.empty());
     CHECK_FALSE(load(entry + "heartbeat_ms: 0\n").errors_.empty());
+    CHECK_FALSE(load(entry + "accounts: {revoke_ms: 0}\n").errors_.empty());
+    CHECK_FALSE(load(entry + "accounts: {fail_close: true}\n").errors_.empty());
     const auto control = load(R"(instance: core-1
 data_centre: a
 listen: {operators: "10.0.0.1:80", peers: "10.0.0.1"}
--- a/tests/RouteCatalogTest.cpp
+++ b/tests/RouteCatalogTest.cpp
@@ -66,3 +66,21 @@
     REQUIRE(findGroup(catalog, GroupId("returns")));
     CHECK_FALSE(findGroup(catalog, GroupId("gone")));
 }
+
+// Guards against a key that is accepted without an account, and against public routes that belong to one.
+TEST_CASE("a key gives the account on routes that are not public")
+{
+    auto catalog = catalogOf({ route("verdicts"), route("notices") });
+    catalog.routes_[1].isPublic_ = true;
+    const auto account = [&](const Route& used, const std::string& key) {
+        return accountFor(catalog, used, digestOf(key));
+    };
+    CHECK(account(catalog.routes_[0], "any") == AccountId());
+    catalog.accounts_ = ClientAccounts { { { AccountId("ovens"), { digestOf("k1") }, 0, {} } }, {} };
+    catalog.accounts_->byKey_.emplace(digestOf("k1"), 0);
+    CHECK(account(catalog.routes_[0], "k1") == AccountId("ovens"));
+    CHECK_FALSE(account(catalog.routes_[0], "k2"));
+    CHECK_FALSE(account(catalog.routes_[0], ""));
+    CHECK(account(catalog.routes_[1], "k1") == AccountId());
+    CHECK(account(catalog.routes_[1], "k2") == AccountId());
+}
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -23,10 +23,28 @@
         return { EndpointId("i-1"), EndpointId("i-2"), EndpointId("i-3") };
     }
 
-    RouteCatalog catalogOf(const GatewayHarness::Options& options)
+    ClientAccounts accountsOf(const std::map<std::string, std::vector<std::string>>& keys)
+    {
+        std::vector<ClientAccount> accounts;
+        for (const auto& [name, texts] : keys) {
+            ClientAccount account { AccountId(name), {}, 0, {} };
+            for (const auto& text : texts)
+                account.keys_.push_back(digestOf(text));
+            accounts.push_back(account);
+        }
+        return boost::leaf::try_handle_all([&] { return indexAccounts(accounts); },
+            []() -> ClientAccounts {
+                FAIL("accounts that share a key");
+                return {};
+            });
+    }
+
+    RouteCatalog catalogOf(const GatewayHarness::Options& options, std::uint64_t version)
     {
         RouteCatalog catalog;
-        catalog.version_ = 1;
+        catalog.version_ = version;
+        if (options.accounts_)
+            catalog.accounts_ = accountsOf(*options.accounts_);
         catalog.groups_ = { { GroupId("returns"), options.connectionLimit_, 0 } };
         catalog.idleTransaction_ = options.idleTransaction_;
         const auto add = [&](const std::string& name, Consistency consistency, int priority) {
@@ -39,6 +57,7 @@
             route.objective_ = 300ms;
             route.maxAge_ = options.maxAge_;
             route.priority_ = priority;
+            route.isPublic_ = options.publicRoutes_.contains(name);
             catalog.routes_.push_back(route);
         };
         add("verdicts", Consistency::Primary, 1);
@@ -126,9 +145,9 @@
     return answer;
 }
 
-ClientAnswer LineClient::start(const std::string& database)
+ClientAnswer LineClient::start(const std::string& database, const std::string& key)
 {
-    send("STARTUP " + database + " client\r\n");
+    send("STARTUP " + database + " " + key + "\r\n");
     return receive();
 }
 
@@ -155,7 +174,11 @@
 GatewayHarness::GatewayHarness(Options options)
     : group_("returns", endpointNames())
     , calls_(100, [this] { loop_.wake(); })
-    , gateway_(loop_, metrics_, { "front-1", DataCentre("a"), options.needsLeases_ })
+    , gateway_(loop_, metrics_,
+          { .instance_ = "front-1",
+              .dataCentre_ = DataCentre("a"),
+              .needsLeases_ = options.needsLeases_,
+              .failClosed_ = options.failClosed_ })
     , address_(loopbackAddress(freePort()))
 {
     for (const auto& id : endpointNames())
@@ -169,7 +192,7 @@
             *call.done_ = true;
         }
     });
-    gateway_.setCatalog(std::make_shared<const RouteCatalog>(catalogOf(options)));
+    gateway_.setCatalog(std::make_shared<const RouteCatalog>(catalogOf(options, catalogVersion_)));
     gateway_.setShare(options.instances_, 0);
     gateway_.setEndpoints(records());
     thread_ = std::thread([this] { loop_.run(); });
@@ -220,6 +243,12 @@
     return records;
 }
 
+void GatewayHarness::configure(const Options& options)
+{
+    const auto catalog = std::make_shared<const RouteCatalog>(catalogOf(options, ++catalogVersion_));
+    onGateway([&](StatementGateway& gateway) { gateway.setCatalog(catalog); });
+}
+
 void GatewayHarness::announce()
 {
     const auto now = records();
@@ -241,10 +270,10 @@
     return metrics_.value(reason);
 }
 
-std::unique_ptr<LineClient> GatewayHarness::client(const std::string& database)
+std::unique_ptr<LineClient> GatewayHarness::client(const std::string& database, const std::string& key)
 {
     auto client = std::make_unique<LineClient>(address_);
-    REQUIRE(client->start(database).mark_ == 'I');
+    REQUIRE(client->start(database, key).mark_ == 'I');
     return client;
 }
 
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -6,7 +6,10 @@
 #include "request/StatementGateway.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,7 +33,7 @@
     LineClient& operator=(const LineClient&) = delete;
     ~LineClient();
 
-    ClientAnswer start(const std::string& database);
+    ClientAnswer start(const std::string& database, const std::string& key = "client");
     /// Sends a statement under the next id and waits for its whole answer.
     ClientAnswer query(const std::string& text);
     /// Sends lines as they are.
@@ -59,6 +62,10 @@
         std::chrono::milliseconds idleTransaction_ { 3000 };
         std::chrono::milliseconds maxAge_ { 2500 };
         bool needsLeases_ { false };
+        /// Names and keys of client accounts; nothing for a catalog without accounts.
+        std::optional<std::map<std::string, std::vector<std::string>>> accounts_ {};
+        std::set<std::string> publicRoutes_ {};
+        bool failClosed_ { false };
     };
 
     GatewayHarness();
@@ -74,6 +81,8 @@
     std::size_t servers() const { return servers_.size(); }
     /// Runs a function on the gateway's thread and waits for it.
     void onGateway(const std::function<void(StatementGateway&)>&);
+    /// Applies a newer catalog with these options.
+    void configure(const Options&);
     /// Tells the gateway who leads, as control members would.
     void announce();
     /// Gives the gateway a lease on a primary, or withdraws it when the endpoint is empty. With `age`, it was proven
@@ -83,7 +92,7 @@
     std::size_t runsOf(const std::string& id) const;
     std::uint64_t counted(Reason);
     /// A client with an open session.
-    std::unique_ptr<LineClient> client(const std::string& database);
+    std::unique_ptr<LineClient> client(const std::string& database, const std::string& key = "client");
 
 private:
     struct Call {
@@ -96,6 +105,7 @@
     standin::LineGroup group_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
     std::uint64_t sequence_ { 1 };
+    std::uint64_t catalogVersion_ { 1 };
     std::uint64_t leaseNumber_ { 0 };
     EventLoop loop_;
     Metrics metrics_;
