Let the admission queue pass over services that cannot start

A statement of a client account can only start on a connection of this account. Starting it and putting it back when there is none would let a dispatch take the same statement again and again, or cost it its place. next() takes a predicate now and passes over a service while its first item may not start; without one it works as before. A replay without a network checks that an account that sends 7.5 times its usual load for 6.5 s causes no refusals of the others and delays them by no more than one service time.

--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -7,6 +7,7 @@
 #include <boost/intrusive/set.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -129,9 +130,11 @@
 
 /// Starts as many items as there are free slots and connections, and refuses those whose deadline has passed. Must be
 /// called after enqueue(), after finished(), after a change of connections, and at nextDeadline().
-/// `freeConnections` limits how many items without a connection of their own may start.
-AdmissionDecision next(
-    AdmissionQueue&, TimePoint now, std::size_t freeConnections = std::numeric_limits<std::size_t>::max());
+/// `freeConnections` limits how many items without a connection of their own may start. With `mayStart`, a service is
+/// passed over while its first item may not start, for example because there is no connection of its account.
+AdmissionDecision next(AdmissionQueue&, TimePoint now,
+    std::size_t freeConnections = std::numeric_limits<std::size_t>::max(),
+    const std::function<bool(const AdmissionItem&)>& mayStart = {});
 
 /// Frees the slot of a started item and updates the mean service time of its class.
 void finished(AdmissionQueue&, AdmissionItem&, TimePoint now);
@@ -149,6 +152,9 @@
 /// The earliest deadline of a waiting item, or nothing if none waits.
 std::optional<TimePoint> nextDeadline(const AdmissionQueue&);
 
+/// The waiting items of a class and service without a connection of their own.
+std::size_t waitingOf(const AdmissionQueue&, const ClassId&, const ServiceId&);
+
 /// How long a new item of this class and service would wait for its start, by the measured service times.
 Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, bool ownsConnection = false);
 
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -62,19 +62,37 @@
         return !reservesSlot(queue) || queue.runningNotUrgent_ + 1 < queue.settings_.slots_;
     }
 
-    bool isEligible(const AdmissionQueue& queue, const ClassQueue& classQueue, std::size_t connections)
+    // What limits the items without a connection of their own.
+    struct FreeConnections {
+        std::size_t count_;
+        const std::function<bool(const AdmissionItem&)>& mayStart_;
+    };
+
+    // The first service in round-robin order whose first item may start.
+    detail::ServiceQueue* chooseService(ClassQueue& classQueue, const FreeConnections& free)
+    {
+        if (free.count_ == 0)
+            return nullptr;
+        const auto found = std::find_if(classQueue.activeServices_.begin(), classQueue.activeServices_.end(),
+            [&](const detail::ServiceQueue& service) {
+                return !free.mayStart_ || free.mayStart_(service.items_.front());
+            });
+        return found == classQueue.activeServices_.end() ? nullptr : &*found;
+    }
+
+    bool isEligible(const AdmissionQueue& queue, ClassQueue& classQueue, const FreeConnections& free)
     {
         return (classQueue.settings_.urgent_ || mayStartNotUrgent(queue))
-            && (!classQueue.transactionItems_.empty() || (connections > 0 && !classQueue.activeServices_.empty()));
+            && (!classQueue.transactionItems_.empty() || chooseService(classQueue, free));
     }
 
     // Deficit round robin. The quantum is always the smallest that lets one class start an item, so that classes
     // alternate as finely as their weights allow. A fixed quantum would serve them in bursts.
-    ClassQueue* chooseClass(AdmissionQueue& queue, std::size_t connections)
+    ClassQueue* chooseClass(AdmissionQueue& queue, const FreeConnections& free)
     {
         double round = std::numeric_limits<double>::infinity();
-        for (const auto& classQueue : queue.activeClasses_) {
-            if (isEligible(queue, classQueue, connections))
+        for (auto& classQueue : queue.activeClasses_) {
+            if (isEligible(queue, classQueue, free))
                 round = std::min(
                     round, std::max(0.0, classQueue.serviceTime_ - classQueue.deficit_) / classQueue.settings_.weight_);
         }
@@ -82,7 +100,7 @@
             return nullptr;
         ClassQueue* chosen = nullptr;
         for (auto& classQueue : queue.activeClasses_) {
-            if (!isEligible(queue, classQueue, connections))
+            if (!isEligible(queue, classQueue, free))
                 continue;
             classQueue.deficit_ += round * classQueue.settings_.weight_;
             // The tolerance covers the rounding error of the division by the weight.
@@ -99,14 +117,14 @@
 
     // Removes and returns the next item of the class. Statements of transactions go first, because they hold a
     // connection; then the services in round-robin order.
-    AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue)
+    AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue, const FreeConnections& free)
     {
         if (!classQueue.transactionItems_.empty()) {
             auto& item = classQueue.transactionItems_.front();
             unlink(queue, item);
             return item;
         }
-        auto& service = classQueue.activeServices_.front();
+        auto& service = *chooseService(classQueue, free);
         auto& item = service.items_.front();
         classQueue.activeServices_.splice(classQueue.activeServices_.end(), classQueue.activeServices_,
             classQueue.activeServices_.iterator_to(service));
@@ -189,23 +207,25 @@
     return std::nullopt;
 }
 
-AdmissionDecision next(AdmissionQueue& queue, TimePoint now, std::size_t freeConnections)
+AdmissionDecision next(AdmissionQueue& queue, TimePoint now, std::size_t freeConnections,
+    const std::function<bool(const AdmissionItem&)>& mayStart)
 {
     AdmissionDecision decision;
+    FreeConnections free { freeConnections, mayStart };
     while (!queue.deadlines_.empty() && queue.deadlines_.begin()->deadline_ <= now) {
         auto& item = *queue.deadlines_.begin();
         unlink(queue, item);
         decision.refuse_.push_back({ &item, Reason::DeadlinePassed });
     }
     while (queue.running_ < queue.settings_.slots_) {
-        auto* classQueue = chooseClass(queue, freeConnections);
+        auto* classQueue = chooseClass(queue, free);
         if (!classQueue)
             break;
         // Read before takeItem() can remove the last item of the class.
         const auto urgent = classQueue->settings_.urgent_;
-        auto& item = takeItem(queue, *classQueue);
+        auto& item = takeItem(queue, *classQueue, free);
         if (!item.ownsConnection_)
-            --freeConnections;
+            --free.count_;
         item.state_ = State::Running;
         item.startedAt_ = now;
         item.startedUrgent_ = urgent;
@@ -271,6 +291,15 @@
     return queue.deadlines_.begin()->deadline_;
 }
 
+std::size_t waitingOf(const AdmissionQueue& queue, const ClassId& name, const ServiceId& service)
+{
+    const auto classQueue = queue.classes_.find(name);
+    if (classQueue == queue.classes_.end())
+        return 0;
+    const auto found = classQueue->second.services_.find(service);
+    return found == classQueue->second.services_.end() ? 0 : found->second.items_.size();
+}
+
 Duration expectedWait(AdmissionQueue& queue, const ClassId& name, const ServiceId& service, bool ownsConnection)
 {
     const auto& own = classQueueFor(queue, name);
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -1,7 +1,10 @@
 #include "cassiahollow/request/AdmissionQueue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
+#include <random>
 
 using namespace cassiahollow;
 using namespace std::chrono_literals;
@@ -195,3 +198,111 @@
     REQUIRE(next(bench.queue_, start, 0).start_.empty());
     REQUIRE(next(bench.queue_, start, 1).start_.size() == 1);
 }
+
+// Guards against statements behind one that has no connection yet, and against a search for one that never ends.
+TEST_CASE("a service is passed over while its first item may not start")
+{
+    Bench bench(settingsOf(4));
+    bench.add("c", "blocked");
+    bench.add("c", "blocked");
+    bench.add("c", "free");
+    const auto isFree = [](const AdmissionItem& item) { return item.service_ == ServiceId("free"); };
+    const auto decision = next(bench.queue_, start, 4, isFree);
+    REQUIRE(decision.start_.size() == 1);
+    CHECK(decision.start_[0]->service_ == ServiceId("free"));
+    CHECK(next(bench.queue_, start, 4, isFree).start_.empty());
+    CHECK(waitingOf(bench.queue_, ClassId("c"), ServiceId("blocked")) == 2);
+    CHECK(waitingOf(bench.queue_, ClassId("c"), ServiceId("other")) == 0);
+    CHECK(waitingOf(bench.queue_, ClassId("d"), ServiceId("free")) == 0);
+    CHECK(next(bench.queue_, start, 4).start_.size() == 2);
+}
+
+namespace {
+
+// Statements of many accounts in front of six slots, as simulated time passes. The first account sends `factor` times
+// its usual load in the middle of the replay.
+struct Replay {
+    static constexpr std::size_t accounts = 20;
+    static constexpr auto serviceTime = 11ms;
+    static constexpr auto patience = 112ms; // Of a route with an objective of 250 ms.
+
+    struct Outcome {
+        std::size_t started_ { 0 };
+        std::size_t refused_ { 0 };
+        Duration p99_ { 0 };
+    };
+
+    // Of all accounts but the first.
+    static Outcome run(double factor)
+    {
+        std::vector<std::pair<Duration, std::size_t>> arrivals;
+        for (std::size_t account = 0; account < accounts; ++account) {
+            std::mt19937_64 random(account); // The others send the same in each replay.
+            // A fifth of the usual load comes from the first account; together they use 60 % of the slots.
+            const double usual = account == 0 ? 65.0 : 262.0 / (accounts - 1);
+            for (double at = 0; at < 20;) {
+                const bool isBurst = account == 0 && at >= 5 && at < 11.5;
+                at += std::exponential_distribution<double>(usual * (isBurst ? factor : 1))(random);
+                arrivals.emplace_back(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at)), account);
+            }
+        }
+        std::sort(arrivals.begin(), arrivals.end());
+        Outcome outcome;
+        std::vector<std::unique_ptr<AdmissionItem>> items;
+        AdmissionQueue queue({ 6, 1000, serviceTime, {} });
+        std::multimap<TimePoint, AdmissionItem*> ends;
+        std::map<const AdmissionItem*, TimePoint> arrived;
+        std::vector<Duration> waits;
+        const auto countRefused
+            = [&](const AdmissionItem& item) { outcome.refused_ += item.service_ != ServiceId("0"); };
+        const auto serve = [&](TimePoint now) {
+            const auto decision = next(queue, now);
+            for (const auto& refused : decision.refuse_)
+                countRefused(*refused.item_);
+            for (auto* item : decision.start_) {
+                ends.emplace(now + serviceTime, item);
+                if (item->service_ != ServiceId("0"))
+                    waits.push_back(now - arrived[item]);
+            }
+        };
+        const auto endUntil = [&](TimePoint now) {
+            while (!ends.empty() && ends.begin()->first <= now) {
+                const auto [end, item] = *ends.begin();
+                ends.erase(ends.begin());
+                finished(queue, *item, end);
+                serve(end);
+            }
+        };
+        for (const auto& [at, account] : arrivals) {
+            const auto now = start + at;
+            endUntil(now);
+            auto& item = *items.emplace_back(std::make_unique<AdmissionItem>());
+            item.class_ = ClassId("c");
+            item.service_ = ServiceId(std::to_string(account));
+            item.deadline_ = now + patience;
+            arrived[&item] = now;
+            if (enqueue(queue, item, now))
+                countRefused(item);
+            serve(now);
+        }
+        endUntil(start + 1h);
+        std::sort(waits.begin(), waits.end());
+        outcome.started_ = waits.size();
+        outcome.p99_ = waits[waits.size() * 99 / 100];
+        return outcome;
+    }
+};
+
+} // namespace
+
+// Replays "one account sends 7.5 times its usual load for 6.5 s": the others must neither be refused nor wait for it.
+TEST_CASE("an account that sends far more than usual delays only itself")
+{
+    const auto calm = Replay::run(1);
+    const auto burst = Replay::run(7.5);
+    CAPTURE(calm.p99_.count(), burst.p99_.count(), burst.started_);
+    CHECK(calm.refused_ == 0);
+    CHECK(burst.refused_ == 0);
+    // While the slots are never free, a statement waits until the next one ends: a part of one service time.
+    CHECK(burst.p99_ <= calm.p99_ + Replay::serviceTime);
+}
