Order the holders of a group by account

All statements of one account to one group go to the same holder of the data centre, so that its connections are kept in one place. The order is by rendezvous hashing over group and account among the group's holders.

--- a/include/cassiahollow/process/StatementHolders.h
+++ b/include/cassiahollow/process/StatementHolders.h
@@ -47,6 +47,10 @@
 /// holders share the load.
 std::vector<InstanceId> holderOrder(const StatementHolders&, const GroupId&, const InstanceId& self);
 
+/// The order in which every instance of the data centre tries the instances for the statements of one account: all use
+/// the same holder, which keeps the account's connections in one place.
+std::vector<InstanceId> holderOrder(const StatementHolders&, const GroupId&, const AccountId&);
+
 /// Whether the instance is one of the holders of the group.
 bool isHolder(const StatementHolders&, const GroupId&, const InstanceId&);
 
--- a/src/process/StatementHolders.cpp
+++ b/src/process/StatementHolders.cpp
@@ -92,6 +92,20 @@
     return order;
 }
 
+std::vector<InstanceId> holderOrder(const StatementHolders& holders, const GroupId& group, const AccountId& account)
+{
+    const auto found = holders.order_.find(group);
+    if (found == holders.order_.end())
+        return {};
+    auto order = found->second;
+    const auto key = group.value_ + ' ' + account.value_;
+    const auto count = static_cast<std::ptrdiff_t>(std::min(holders.holdersPerGroup_, order.size()));
+    std::sort(order.begin(), order.begin() + count, [&](const InstanceId& a, const InstanceId& b) {
+        return std::pair(weightOf(a, key), a) > std::pair(weightOf(b, key), b);
+    });
+    return order;
+}
+
 bool isHolder(const StatementHolders& holders, const GroupId& group, const InstanceId& instance)
 {
     const auto found = holders.order_.find(group);
--- a/tests/StatementHoldersTest.cpp
+++ b/tests/StatementHoldersTest.cpp
@@ -108,3 +108,41 @@
     CHECK(holderOrder(holders, GroupId("unknown"), instances(1)[0]).empty());
     CHECK(assignHolders({ groups(4), {}, 2, 400 }).order_.empty());
 }
+
+// Guards against an account whose connections are spread over all holders, and against accounts that all use the same.
+TEST_CASE("all instances use the same holder for an account, and accounts share the holders")
+{
+    const auto holders = assignHolders({ groups(8), instances(45), 3, 131 });
+    REQUIRE(holders.holdersPerGroup_ == 3);
+    std::map<InstanceId, std::size_t> accounts;
+    const GroupId group("group-3");
+    for (int i = 0; i < 300; ++i) {
+        const auto order = holderOrder(holders, group, AccountId("account-" + std::to_string(i)));
+        REQUIRE(order.size() == 45);
+        CHECK(isHolder(holders, group, order.front()));
+        CHECK(isHolder(holders, group, order[2]));
+        CHECK_FALSE(isHolder(holders, group, order[3]));
+        ++accounts[order.front()];
+    }
+    REQUIRE(accounts.size() == 3);
+    for (const auto& [instance, count] : accounts)
+        CHECK(count > 60);
+    CHECK(holderOrder(holders, GroupId("other"), AccountId("account-1")).empty());
+}
+
+// Guards against accounts that change their holder, and need new connections, when an unrelated holder leaves.
+TEST_CASE("an account keeps its holder when another one leaves")
+{
+    const auto all = instances(3);
+    const HolderInputs before { groups(1), all, 1, 131 };
+    const auto holders = assignHolders(before);
+    REQUIRE(holders.holdersPerGroup_ == 3);
+    for (int i = 0; i < 100; ++i) {
+        const AccountId account("account-" + std::to_string(i));
+        const auto order = holderOrder(holders, GroupId("group-0"), account);
+        auto left = all;
+        std::erase(left, order[1]);
+        const auto after = holderOrder(assignHolders({ groups(1), left, 1, 131 }), GroupId("group-0"), account);
+        CHECK(after == std::vector { order[0], order[2] });
+    }
+}
