--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -92,12 +92,16 @@
     bool wasTried_ { false }; ///< The endpoint has refused this statement.
     /// False for the replicas whose connections are left to other instances while connections are scarce.
     bool isPreferred_ { true };
+    bool needsConnection_ { false }; ///< A connection would have to be opened for the read.
 };
 
 /// Added to the expected time of a read at the primary, because it delays writes, which can run nowhere else.
 inline constexpr double primaryPenaltySeconds = 0.015;
 /// Added to the expected time of a statement to another data centre.
 inline constexpr double remotePenaltySeconds = 0.003;
+/// Added to the expected time of a read that needs a new connection: 12 ms in which it occupies a slot of the endpoint,
+/// and a round trip.
+inline constexpr double newConnectionSeconds = 0.015;
 
 /// Chooses the endpoint for a read with a floor of the given age: the one with the least expected time among those that
 /// are expected to have caught up. A replica that is behind is chosen only when there is no other candidate. Returns
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -124,6 +124,7 @@
         double seconds = expectedResponse(load, now) * std::max(1.0, share);
         seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
         seconds += candidate.isLocal_ ? 0 : remotePenaltySeconds;
+        seconds += candidate.needsConnection_ ? newConnectionSeconds : 0;
         // Each of these penalties exceeds any difference in time, and each the sum of the ones before it.
         const bool isBehind = !candidate.isPrimary_ && expectedLag(load, now) > floorAge;
         seconds += candidate.isPreferred_ || candidate.isPrimary_ ? 0 : 5;
--- a/tests/StatementPlacementTest.cpp
+++ b/tests/StatementPlacementTest.cpp
@@ -284,3 +284,22 @@
     CHECK(retryAfter(0, 0.02, true) >= 500ms);
     CHECK(retryAfter(1'000'000, 1, true) <= 2s);
 }
+
+// Guards against reads that open a connection of their account although another replica has one.
+TEST_CASE("a read prefers a replica with a connection of its account unless that is much slower")
+{
+    std::vector<EndpointLoad> loads(2);
+    for (auto& load : loads) {
+        load.lastRespondedAt_ = start;
+        load.responseSeconds_ = 0.01;
+    }
+    std::vector<PlacementCandidate> candidates;
+    for (std::size_t i = 0; i < loads.size(); ++i)
+        candidates.push_back({ .index_ = i, .load_ = &loads[i], .slots_ = 6, .isLocal_ = true });
+    candidates[0].needsConnection_ = true;
+    CHECK(placeRead(candidates, 1s, start) == 1);
+    loads[1].responseSeconds_ = 0.02;
+    CHECK(placeRead(candidates, 1s, start) == 1);
+    loads[1].responseSeconds_ = 0.04;
+    CHECK(placeRead(candidates, 1s, start) == 0);
+}
