Run statements on connections of their account

A connection to an endpoint belongs to one client account for its whole lifetime, so a statement may only run on one of its session's account. The decisions are in connection/AccountConnections: use an idle connection of the account, open one, replace the one of another account that rested longest, or wait for one of the account's own that is free before a new one would be open.

A statement may start on a connection that is still being opened. Its lines are held back until the endpoint is ready, so a refused connection or an early end proves that nothing was sent: the statement waits again and may run elsewhere.

At the limit, the replaced connection's socket is shut down before the new one connects. libwebsockets closes a socket only in the next turn of the loop, and both connections would count towards the endpoint's limit.

The queue in front of a group serves accounts by deficit round robin. With accounts, connections are opened ahead only for position samples. Groups without accounts choose as before. Counters for opened and evicted connections.

The stand-in records who opened each connection and who ran each statement, and looks for texts that must not reach a database.

--- a/daemon/connection/EndpointLink.cpp
+++ b/daemon/connection/EndpointLink.cpp
@@ -84,7 +84,10 @@
         return done(&refusal);
     }
     used_ = suspendAwareNow();
-    channel_->send(*line);
+    if (ready_)
+        channel_->send(*line);
+    else
+        held_ += *line;
     waiting_.push_back({ std::move(statement.request_), statement.expected_, std::move(done) });
 }
 
@@ -107,6 +110,13 @@
     end(false);
 }
 
+void EndpointLink::closeAtOnce()
+{
+    if (!closed_)
+        channel_->shutDown();
+    end(false);
+}
+
 void EndpointLink::abandon()
 {
     waiting_.clear();
@@ -133,6 +143,9 @@
     if (!ready_) {
         if (std::holds_alternative<platform::EndpointReady>(message)) {
             ready_ = true;
+            readyAt_ = suspendAwareNow();
+            if (!held_.empty())
+                channel_->send(std::exchange(held_, {}));
             const auto ready = handlers_.ready_; // It may end the connection, which drops the handlers.
             if (ready)
                 ready();
--- a/daemon/connection/EndpointLink.h
+++ b/daemon/connection/EndpointLink.h
@@ -63,7 +63,8 @@
     EndpointLink(const EndpointLink&) = delete;
     EndpointLink& operator=(const EndpointLink&) = delete;
 
-    /// Sends a statement; `done` is called once, unless close() comes first.
+    /// Sends a statement once the connection is ready; `done` is called once. If the connection ends before, nothing of
+    /// the statement was sent.
     void exchange(EndpointStatement, Done done);
     /// Shows whether the answers are in step: one that is still to come reaches a begin or a rollback.
     /// Leaves no transaction open.
@@ -71,6 +72,10 @@
     /// Ends the connection; the endpoint rolls back what is open on it. Waiting exchanges are told.
     void close();
 
+    /// Ends the connection so that the endpoint learns it before it sees one that is opened after this call: otherwise
+    /// both count towards its limit for a moment.
+    void closeAtOnce();
+
     /// Ends the connection without telling anybody.
     void abandon();
 
@@ -83,12 +88,14 @@
     bool isQuiet() const { return waiting_.empty(); }
     /// An error may have been an earlier one again, and the answer that was waited for is then still to come.
     bool needsProof() const { return needsProof_; }
+    TimePoint readyAt() const { return readyAt_; }
     /// Why the endpoint refused the connection, if it did.
     std::optional<StatementError> refusal() const { return refusal_; }
 
     ConnectionSessionState fit_;
     bool taken_ { false }; ///< A statement or a transaction owns the connection.
     TimePoint used_; ///< The last use.
+    TimePoint freeBy_ { TimePoint::max() }; ///< When the statement that owns the connection is expected to end.
     TimePoint answerBy_; ///< When the time limit of the statement under way ends; the epoch when there is none.
 
 private:
@@ -111,6 +118,8 @@
     Handlers handlers_;
     LineChannelPtr channel_;
     bool ready_ { false };
+    TimePoint readyAt_;
+    std::string held_; ///< Lines of statements that wait until the connection is ready.
     bool closed_ { false };
     std::optional<StatementError> refusal_;
     platform::LineReader reader_;
--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -38,6 +38,12 @@
     killConnection(connection_);
 }
 
+void LineChannel::shutDown()
+{
+    if (open_ && !ended_ && !abandoned_)
+        ::shutdown(lws_get_socket_fd(connection_.wsi_), SHUT_RDWR);
+}
+
 void LineChannel::closeWhenSent()
 {
     closing_ = true;
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -34,6 +34,8 @@
     void send(std::string_view bytes);
     /// Closes without sending what is queued. The handlers are not called any more.
     void close();
+    /// Tells the other end that nothing more is sent, without waiting for the next turn of the loop as close() does.
+    void shutDown();
     /// Closes once all queued bytes are sent.
     void closeWhenSent();
 
--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -27,6 +27,8 @@
     if (auto* endpoint = find(link->endpoint()); endpoint && endpoint->load_.inFlight_ > 0)
         --endpoint->load_.inFlight_;
     --job->outstanding_;
+    if (!reply && !link->wasReady())
+        return notSent(job, link);
     if (reply)
         learn(job, link, *reply);
     if (!reply || !reply->isUncertain_ || !mayKeep(*job))
@@ -38,6 +40,28 @@
     });
 }
 
+// The endpoint refused the connection, or it ended before it was ready: nothing of the statement was sent, so it waits
+// again and may run elsewhere.
+void StatementGateway::notSent(const JobPtr& job, const EndpointLinkPtr& link)
+{
+    if (job->isDone_ || job->session_->closed_)
+        return jobDone(job);
+    // The other attempt may still be answered.
+    if (job->outstanding_ > 0)
+        return;
+    metrics_.count(Reason::RetryConnectionRefused);
+    LogLine(LogKind::Retry, "connection_not_ready")
+        .with("request", job->id_)
+        .with("endpoint", link->endpoint().value_)
+        .with("waited", suspendAwareNow() - job->arrived_);
+    if (job->queue_ && job->item_.state_ == AdmissionItem::State::Running)
+        cancel(*job->queue_, job->item_);
+    --job->attempts_;
+    job->tried_.insert(link->endpoint());
+    job->link_ = nullptr;
+    enqueueJob(job);
+}
+
 // What becomes of a statement whose attempt has been answered or lost.
 void StatementGateway::settle(
     const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply, bool beginRefused)
@@ -171,10 +195,12 @@
         return;
     const auto now = suspendAwareNow();
     auto& load = endpoint->load_;
-    const auto floorAge = job->floor_ ? job->sent_ - job->floor_->reachedAt_ : Duration::zero();
+    // A statement that waited for a new connection was sent when that was ready.
+    const auto sent = std::max(job->sent_, link->readyAt());
+    const auto floorAge = job->floor_ ? sent - job->floor_->reachedAt_ : Duration::zero();
     if (!reply.error_) {
-        recordResponse(load, now - job->sent_, now);
-        metrics_.record(HistogramId::RunTime, now - job->sent_);
+        recordResponse(load, now - sent, now);
+        metrics_.record(HistogramId::RunTime, now - sent);
         if (job->floor_ && endpoint->record_.role_ == EndpointRole::Replica)
             recordCaughtUp(load, floorAge);
         if (job->kind_ == StatementKind::Read)
@@ -265,6 +291,9 @@
     auto* endpoint = placeJob(group, job);
     if (!endpoint || !takeRetry(retryBudget_, now))
         return;
+    const auto link = linkFor(*endpoint, *job);
+    if (!link)
+        return;
     job->hedged_ = true;
     metrics_.count(Reason::RetryResponseLate);
     LogLine(LogKind::Retry, reasonInfo(Reason::RetryResponseLate).name_)
@@ -272,7 +301,7 @@
         .with("from", job->link_->endpoint().value_)
         .with("to", endpoint->record_.id_.value_)
         .with("sent_ago", now - job->sent_);
-    start(group, job, *endpoint);
+    start(job, *endpoint, link);
 }
 
 // The connection of the statement ended before its answer, or before the statement could be sent.
@@ -312,6 +341,11 @@
         return;
     }
     const auto link = job->link_;
+    if (!link->wasReady() && job->outstanding_ == 1) {
+        refuseJob(job, Reason::DeadlinePassed);
+        // The statement waits there, and must not be sent any more.
+        return link->close();
+    }
     const auto& session = job->session_;
     LogLine(LogKind::Uncertain, "timed_out")
         .with("request", job->id_)
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -23,6 +23,9 @@
     constexpr auto spareLinkTime = 800ms;
     // A holder keeps its connections longer: nobody else needs them, and each new one takes slot time of the endpoint.
     constexpr auto heldLinkTime = 10000ms;
+    // Connections of accounts are kept longer still: a small account uses its own rarely, and they make room for others
+    // when there are too many.
+    constexpr auto accountLinkTime = 60000ms;
     // A connection whose answer is overdue is closed this long after its last use: the instance's own statements have
     // no time limit of a route.
     constexpr auto answerGrace = 500ms;
@@ -45,6 +48,12 @@
     return *group;
 }
 
+const StatementGateway::Group* StatementGateway::findKnownGroup(const GroupId& id) const
+{
+    const auto found = groups_.find(id);
+    return found == groups_.end() ? nullptr : found->second.get();
+}
+
 // The endpoint that this instance may use as the primary, or null.
 const RegisteredEndpoint* StatementGateway::primaryRecord(const GroupId& group) const
 {
@@ -142,6 +151,7 @@
     startHeld();
     for (const auto& rules : catalog_->groups_) {
         auto& group = groupOf(rules.group_);
+        group.usesAccounts_ |= catalog_->accounts_.has_value();
         std::map<ClassId, AdmissionClass> classes;
         for (const auto& route : catalog_->routes_) {
             if (route.group_ == rules.group_)
@@ -292,39 +302,65 @@
         reportHandler_();
 }
 
-void StatementGateway::openLink(Endpoint& endpoint)
+std::size_t StatementGateway::connectionLimitOf(const Endpoint& endpoint) const
 {
-    std::erase_if(endpoint.links_, [](const EndpointLinkPtr& link) { return link->isClosed(); });
-    const auto now = suspendAwareNow();
-    const auto& id = endpoint.record_.id_;
     const auto* rules = catalog_ ? findGroup(*catalog_, endpoint.record_.group_) : nullptr;
-    const auto share = rules ? connectionShareOf(groupOf(rules->group_), *rules) : 1;
+    const auto* group = findKnownGroup(endpoint.record_.group_);
+    return rules && group ? connectionShareOf(*group, *rules) : 0;
+}
+
+// Whether a connection may be opened now, apart from the limit.
+bool StatementGateway::mayOpenLink(const Endpoint& endpoint) const
+{
+    const auto now = suspendAwareNow();
     const auto pause = std::min<Duration>(openPause * (1 << std::min(endpoint.openFailures_, 6)), longestOpenPause);
     const bool mustWait = endpoint.openFailures_ > 0 && now - endpoint.openFailed_ < pause;
-    if (!rules || endpoint.isOpening() || endpoint.links_.size() >= share || now < endpoint.load_.connectionLimitUntil_
-        || mustWait)
-        return;
+    return now >= endpoint.load_.connectionLimitUntil_ && !mustWait;
+}
+
+// Opens a connection for the statements of an account; null if that fails at once.
+EndpointLinkPtr StatementGateway::createLink(Endpoint& endpoint, const AccountId& account)
+{
+    const auto& id = endpoint.record_.id_;
     EndpointLinkPtr link;
     // The handlers refer to the link by its place in the endpoint, because it does not exist yet.
     auto slot = std::make_shared<EndpointLink*>(nullptr);
     link = new EndpointLink(sockets_, metrics_,
-        { id, endpoint.record_.group_, endpoint.record_.address_, options_.instance_ }, connectTime, connectionSilence,
+        { id, endpoint.record_.group_, endpoint.record_.address_, options_.instance_, account }, connectTime,
+        connectionSilence,
         { [this, id] { linkReady(id); }, [this, id, slot] { linkClosed(id, EndpointLinkPtr(*slot)); } });
     *slot = link.get();
+    metrics_.add(CounterId::ConnectionsOpened);
+    if (link->isClosed()) {
+        endpoint.openFailed_ = suspendAwareNow();
+        ++endpoint.openFailures_;
+        return nullptr;
+    }
     endpoint.links_.push_back(link);
+    return link;
+}
+
+// Opens a connection with the instance's own name.
+void StatementGateway::openLink(Endpoint& endpoint)
+{
+    std::erase_if(endpoint.links_, [](const EndpointLinkPtr& link) { return link->isClosed(); });
+    if (endpoint.isOpening() || endpoint.links_.size() >= connectionLimitOf(endpoint) || !mayOpenLink(endpoint))
+        return;
+    createLink(endpoint, {});
 }
 
 void StatementGateway::openWanted(Group& group)
 {
     auto* first = primary(group);
-    const bool wantsPrimary = group.primaryQueue_.waiting_ > 0
+    // With accounts, statements open their own connections when they start.
+    const bool wantsPrimary = (group.primaryQueue_.waiting_ > 0 && !group.usesAccounts_)
         || (!group.awaitSample_.empty() && !group.sampling_ && !awaitsSharedSample(group));
     const auto wantsLink = [](const Endpoint& endpoint) {
         return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < static_cast<std::size_t>(endpoint.load_.window_);
     };
     if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
-    const bool wantsReads = group.readQueue_.waiting_ > 0;
+    const bool wantsReads = group.readQueue_.waiting_ > 0 && !group.usesAccounts_;
     const bool scarce = lacksConnections(group);
     const auto* kept = scarce ? preferred(group) : nullptr;
     for (auto& [id, endpoint] : endpoints_) {
@@ -334,26 +370,66 @@
         // stand in for a holder.
         const bool isOpenTo = !scarce || endpoint.get() == kept || !kept || isFailing(kept->load_);
         const bool opensAhead = options_.self_.empty() || (hasSettled_ && !usesHolders(group));
-        const bool isFirst = endpoint->links_.empty() && isOpenTo && opensAhead && (!scarce || endpoint.get() != first);
+        // With accounts, only samples of the primary's position need one before there is a statement.
+        const bool isOfUse = !group.usesAccounts_ || endpoint.get() == first;
+        const bool isFirst
+            = endpoint->links_.empty() && isOpenTo && opensAhead && isOfUse && (!scarce || endpoint.get() != first);
         if (isFirst || (wantsReads && isOpenTo && wantsLink(*endpoint) && endpoint.get() != first))
             openLink(*endpoint);
     }
 }
 
-EndpointLinkPtr StatementGateway::idleLink(Endpoint& endpoint, const Job& job)
+// Which connection a statement would use. `waiting`: see ConnectionDemand.
+ConnectionChoice StatementGateway::chooseLink(const Endpoint& endpoint, const Job& job, std::size_t waiting) const
 {
-    EndpointLinkPtr best;
-    std::size_t bestCost = 0;
+    using State = AccountConnection::State;
+    const auto now = suspendAwareNow();
+    const auto& account = job.session_->account_;
+    std::vector<AccountConnection> connections;
+    connections.reserve(endpoint.links_.size());
     for (const auto& link : endpoint.links_) {
-        if (!link->isReady() || link->taken_)
-            continue;
-        const auto cost = syncCost(link->fit_, job.session_->sql_, job.shape_);
-        if (!best || cost < bestCost) {
-            best = link;
-            bestCost = cost;
-        }
+        const auto state = link->isClosed() ? State::Closed
+            : link->taken_                  ? State::Busy
+            : link->isReady()               ? State::Idle
+                                            : State::Opening;
+        const bool isOwn = state != State::Closed && state != State::Busy && link->account() == account;
+        connections.push_back({ link->account(), state, link->used_, link->freeBy_,
+            isOwn ? syncCost(link->fit_, job.session_->sql_, job.shape_) : 0 });
     }
-    return best;
+    const auto* group = findKnownGroup(endpoint.record_.group_);
+    const auto serviceTime
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expectedResponse(endpoint.load_, now)));
+    return chooseConnection(connections,
+        { account, connectionLimitOf(endpoint), group && group->usesAccounts_ && mayOpenLink(endpoint), waiting,
+            serviceTime },
+        now);
+}
+
+// The connection that a statement starts on; null if there is none. With accounts, it may have to be opened first, and
+// the place of one that rests is freed before.
+EndpointLinkPtr StatementGateway::linkFor(Endpoint& endpoint, const Job& job)
+{
+    const auto choice = chooseLink(endpoint, job, 0);
+    if (!mayStart(choice))
+        return nullptr;
+    if (choice.action_ == ConnectionAction::Use)
+        return endpoint.links_[choice.index_];
+    if (choice.action_ == ConnectionAction::Replace) {
+        const auto evicted = endpoint.links_[choice.index_];
+        metrics_.add(CounterId::ConnectionsEvicted);
+        evicted->closeAtOnce();
+        std::erase(endpoint.links_, evicted);
+    }
+    return createLink(endpoint, job.session_->account_);
+}
+
+bool StatementGateway::isAccountKnown(const AccountId& account) const
+{
+    if (account.empty() || !catalog_ || !catalog_->accounts_)
+        return true;
+    const auto& accounts = catalog_->accounts_->accounts_;
+    return std::any_of(
+        accounts.begin(), accounts.end(), [&](const ClientAccount& known) { return known.name_ == account; });
 }
 
 void StatementGateway::linkReady(const EndpointId& id)
@@ -387,6 +463,9 @@
     // One connection that ends says little; whether a new one opens says more.
     if (link->wasReady()) {
         metrics_.count(Reason::RetryConnectionLost);
+        auto& group = groupOf(endpoint->record_.group_);
+        if (group.usesAccounts_)
+            return dispatch(group);
         openLink(*endpoint);
         return;
     }
@@ -537,10 +616,11 @@
         const bool isKept = isUsable(*endpoint) && !usesHolders(group)
             && (!lacksConnections(group) || endpoint.get() == preferred(group));
         const std::size_t kept = isKept ? 1 : 0;
-        const auto rest = group.isHeld_ ? heldLinkTime : spareLinkTime;
+        const auto rest = !group.isHeld_ ? spareLinkTime : group.usesAccounts_ ? accountLinkTime : heldLinkTime;
         for (std::size_t i = links.size(); i > kept; --i) {
             const auto link = links[i - 1];
-            if (!link->isReady() || link->taken_ || now - link->used_ < rest)
+            const bool rests = now - link->used_ >= rest || !isAccountKnown(link->account());
+            if (!link->isReady() || link->taken_ || !rests)
                 continue;
             link->close();
             links.erase(links.begin() + static_cast<std::ptrdiff_t>(i - 1));
@@ -574,6 +654,9 @@
         for (const auto& job : late)
             refuseJob(job, Reason::NoEndpointForRead);
         hedgeLate(*group);
+        // A pause of new connections ends, or one that was worth waiting for stays busy, without another event.
+        if (group->usesAccounts_ && group->primaryQueue_.waiting_ + group->readQueue_.waiting_ > 0)
+            dispatch(*group);
         if (!group->awaitSample_.empty())
             requestSample(*group);
     }
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -132,10 +132,15 @@
 // The instance that a statement is sent to; null if it has to run here.
 StatementGateway::HolderPtr StatementGateway::holderFor(Group& group, const Job& job)
 {
-    if (job.session_->peer_ || !usesHolders(group) || job.triedHolders_.size() >= maximumForwards)
+    const auto& account = job.session_->account_;
+    // A holder runs its clients' statements itself, but those of an account at the account's holder.
+    const bool mayForward = usesHolders(group) || (group.isHeld_ && !account.empty());
+    if (job.session_->peer_ || !mayForward || job.triedHolders_.size() >= maximumForwards)
         return nullptr;
     const auto now = suspendAwareNow();
-    for (const auto& id : group.holders_) {
+    for (const auto& id : account.empty() ? group.holders_ : holderOrder(assignment_, group.id_, account)) {
+        if (id == options_.self_ && group.isHeld_)
+            return nullptr;
         if (id == options_.self_ || job.triedHolders_.contains(id))
             continue;
         const auto holder = holderOf(id);
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -104,7 +104,6 @@
         return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
             [](const EndpointLinkPtr& link) { return link->isReady() && !link->taken_; }));
     }
-    std::size_t room() const { return sendCapacity(load_, idleLinks()); }
     bool isOpening() const
     {
         return std::any_of(links_.begin(), links_.end(),
@@ -134,6 +133,7 @@
     bool usedHolders_ { false }; ///< Whether others held the connections at the last update.
     bool isUnreachableAtHolder_ { false }; ///< The last holder that replied cannot use the primary.
     bool sampling_ { false };
+    bool usesAccounts_ { false }; ///< Connections belong to accounts. Stays on, because some may still.
     std::set<JobPtr> awaitSample_; ///< Reads without a floor.
     std::set<JobPtr> jobs_; ///< All statements that wait or run.
     EventLoop::TimerId timer_;
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -31,6 +31,7 @@
     recordRequest(retryBudget_, job->arrived_);
     auto& group = groupOf(job->group_);
     group.jobs_.insert(job);
+    group.usesAccounts_ |= !session->account_.empty();
     // Of a peer's statement, a part of the time has passed.
     const auto left = job->arrived_ + job->route_->statementTimeout_ - suspendAwareNow();
     job->timer_
@@ -87,7 +88,8 @@
         job->floor_ = sessionFloor(*sample, seesOwn ? job->session_->sql_.ownCommit_ : OwnCommit {});
     }
     job->item_.class_ = ClassId(job->route_->name_);
-    job->item_.service_ = ServiceId(job->route_->database_);
+    const auto& account = job->session_->account_;
+    job->item_.service_ = ServiceId(account.empty() ? job->route_->database_ : account.value_);
     job->item_.deadline_ = limits.latestStart_;
     bool goesToPrimary = job->needsPrimary_;
     if (!goesToPrimary) {
@@ -103,10 +105,28 @@
     dispatch(group);
 }
 
+// How many more statements may start at the endpoint. With accounts, an idle connection of any account counts, because
+// it can be replaced, and so does one that may be opened.
+std::size_t StatementGateway::room(const Endpoint& endpoint) const
+{
+    const auto* group = findKnownGroup(endpoint.record_.group_);
+    if (!group || !group->usesAccounts_)
+        return sendCapacity(endpoint.load_, endpoint.idleLinks());
+    const auto limit = connectionLimitOf(endpoint);
+    std::size_t open = 0;
+    std::size_t free = 0;
+    for (const auto& link : endpoint.links_) {
+        open += link->isClosed() ? 0 : 1;
+        free += link->isClosed() || link->taken_ ? 0 : 1;
+    }
+    const auto unopened = mayOpenLink(endpoint) && open < limit ? limit - open : 0;
+    return sendCapacity(endpoint.load_, free + unopened);
+}
+
 std::size_t StatementGateway::freeAtPrimary(const Group& group) const
 {
     const auto* endpoint = primary(group);
-    return endpoint ? endpoint->room() : 0;
+    return endpoint ? room(*endpoint) : 0;
 }
 
 std::size_t StatementGateway::freeForReads(const Group& group) const
@@ -114,7 +134,7 @@
     std::size_t free = 0;
     for (const auto& [id, endpoint] : endpoints_) {
         if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint) && !isFailing(endpoint->load_))
-            free += endpoint->room();
+            free += room(*endpoint);
     }
     return free;
 }
@@ -133,6 +153,36 @@
     group.readQueue_.settings_.slots_ = std::max<std::size_t>(1, reads);
 }
 
+// Starts what may start of one queue, and refuses what is too late. True if a statement has started.
+bool StatementGateway::serveQueue(
+    Group& group, AdmissionQueue& queue, std::size_t free, const std::function<bool(const AdmissionItem&)>& mayStart)
+{
+    const auto decision = next(queue, suspendAwareNow(), free, mayStart);
+    // Starting one statement may end another, so all are held.
+    std::vector<std::pair<JobPtr, Reason>> refused;
+    for (const auto& item : decision.refuse_)
+        refused.emplace_back(reinterpret_cast<Job*>(item.item_->id_), item.reason_);
+    std::vector<JobPtr> started;
+    for (const auto* item : decision.start_)
+        started.emplace_back(reinterpret_cast<Job*>(item->id_));
+    for (const auto& [job, reason] : refused)
+        refuseJob(job, reason);
+    bool hasStarted = false;
+    for (const auto& job : started) {
+        if (job->isDone_)
+            continue;
+        auto* endpoint = placeJob(group, job);
+        if (const auto link = endpoint ? linkFor(*endpoint, *job) : nullptr) {
+            start(job, *endpoint, link);
+            hasStarted = true;
+        } else {
+            cancel(queue, job->item_);
+            enqueueJob(job);
+        }
+    }
+    return hasStarted;
+}
+
 void StatementGateway::dispatch(Group& group)
 {
     if (std::exchange(group.dispatching_, true)) {
@@ -141,32 +191,17 @@
     }
     do {
         group.dispatchAgain_ = false;
-        const auto now = suspendAwareNow();
         resizeQueues(group);
-        const auto serve = [&](AdmissionQueue& queue, std::size_t free) {
-            const auto decision = next(queue, now, free);
-            // Starting one statement may end another, so all are held.
-            std::vector<std::pair<JobPtr, Reason>> refused;
-            for (const auto& item : decision.refuse_)
-                refused.emplace_back(reinterpret_cast<Job*>(item.item_->id_), item.reason_);
-            std::vector<JobPtr> started;
-            for (const auto* item : decision.start_)
-                started.emplace_back(reinterpret_cast<Job*>(item->id_));
-            for (const auto& [job, reason] : refused)
-                refuseJob(job, reason);
-            for (const auto& job : started) {
-                if (job->isDone_)
-                    continue;
-                if (auto* endpoint = placeJob(group, job)) {
-                    start(group, job, *endpoint);
-                } else {
-                    cancel(queue, job->item_);
-                    enqueueJob(job);
-                }
-            }
-        };
-        serve(group.primaryQueue_, freeAtPrimary(group));
-        serve(group.readQueue_, freeForReads(group));
+        if (!group.usesAccounts_) {
+            serveQueue(group, group.primaryQueue_, freeAtPrimary(group), {});
+            serveQueue(group, group.readQueue_, freeForReads(group), {});
+            continue;
+        }
+        // Each statement that starts changes which connections the next one finds.
+        const auto mayStart
+            = [&](const AdmissionItem& item) { return mayPlace(group, *reinterpret_cast<Job*>(item.id_)); };
+        while (serveQueue(group, group.primaryQueue_, std::min<std::size_t>(freeAtPrimary(group), 1), mayStart)) { }
+        while (serveQueue(group, group.readQueue_, std::min<std::size_t>(freeForReads(group), 1), mayStart)) { }
     } while (group.dispatchAgain_);
     group.dispatching_ = false;
     openWanted(group);
@@ -188,16 +223,44 @@
           });
 }
 
+// Whether placeJob() finds an endpoint for a waiting statement of an account now. False if one of the account's own
+// connections is worth waiting for.
+bool StatementGateway::mayPlace(Group& group, const Job& job)
+{
+    std::vector<Endpoint*> choices;
+    if (job.atPrimary_) {
+        choices.push_back(primary(group));
+    } else {
+        candidatesFor(group, job, choices);
+    }
+    const auto waiting = waitingOf(*job.queue_, job.item_.class_, job.item_.service_);
+    bool mayStartAny = false;
+    bool hasOwnSoon = false;
+    for (const auto* endpoint : choices) {
+        if (!endpoint || room(*endpoint) == 0)
+            continue;
+        const auto choice = chooseLink(*endpoint, job, waiting);
+        if (choice.action_ == ConnectionAction::Use)
+            return true;
+        hasOwnSoon |= choice.action_ == ConnectionAction::WaitForOwn;
+        mayStartAny |= mayStart(choice);
+    }
+    return mayStartAny && !hasOwnSoon;
+}
+
 StatementGateway::Endpoint* StatementGateway::placeJob(Group& group, const JobPtr& job)
 {
+    const auto hasRoom = [&](const Endpoint& endpoint) {
+        return room(endpoint) > 0 && (!group.usesAccounts_ || mayStart(chooseLink(endpoint, *job, 0)));
+    };
     if (job->atPrimary_) {
         auto* endpoint = primary(group);
-        return endpoint && endpoint->room() > 0 ? endpoint : nullptr;
+        return endpoint && hasRoom(*endpoint) ? endpoint : nullptr;
     }
     std::vector<Endpoint*> choices;
     auto candidates = candidatesFor(group, *job, choices);
     std::erase_if(
-        candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
+        candidates, [&](const PlacementCandidate& candidate) { return !hasRoom(*choices[candidate.index_]); });
     const auto now = suspendAwareNow();
     const auto chosen = placeRead(candidates, now - job->floor_->reachedAt_, now);
     return chosen ? choices[*chosen] : nullptr;
@@ -214,15 +277,15 @@
             continue;
         candidates.push_back({ choices.size(), &endpoint->load_, endpoint->record_.slots_, endpoint.get() == first,
             endpoint->record_.dataCentre_ == options_.dataCentre_, job.tried_.contains(id),
-            !kept || endpoint.get() == kept });
+            !kept || endpoint.get() == kept,
+            group.usesAccounts_ && chooseLink(*endpoint, job, 0).action_ != ConnectionAction::Use });
         choices.push_back(endpoint.get());
     }
     return candidates;
 }
 
-void StatementGateway::start(Group&, const JobPtr& job, Endpoint& endpoint)
+void StatementGateway::start(const JobPtr& job, Endpoint& endpoint, const EndpointLinkPtr& link)
 {
-    const auto link = idleLink(endpoint, *job);
     link->taken_ = true;
     link->answerBy_ = job->arrived_ + job->route_->statementTimeout_;
     job->link_ = link;
@@ -231,6 +294,11 @@
     ++endpoint.load_.inFlight_;
     const auto now = suspendAwareNow();
     job->sent_ = now;
+    // A transaction keeps its connection for a time that nobody knows.
+    const auto serviceTime
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(expectedResponse(endpoint.load_, now)));
+    link->freeBy_ = job->opensTransaction_ ? TimePoint::max()
+                                           : now + serviceTime + (link->isReady() ? Duration() : connectionOpenTime);
     metrics_.record(HistogramId::QueueTime, now - job->arrived_);
     LogLine(LogKind::Placement, "placed")
         .with("request", job->id_)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiahollow/connection/AccountConnections.h"
 #include "cassiahollow/connection/SqlSession.h"
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Metrics.h"
@@ -131,14 +132,19 @@
     static bool mayKeep(const Job&);
     void submit(const JobPtr&);
     void enqueueJob(const JobPtr&);
+    bool mayPlace(Group&, const Job&);
     void resizeQueues(Group&);
     void dispatch(Group&);
     void refuseJob(const JobPtr&, Reason);
+    std::size_t room(const Endpoint&) const;
     std::size_t freeAtPrimary(const Group&) const;
     std::size_t freeForReads(const Group&) const;
+    bool serveQueue(
+        Group&, AdmissionQueue&, std::size_t free, const std::function<bool(const AdmissionItem&)>& mayStart);
     std::vector<PlacementCandidate> candidatesFor(const Group&, const Job&, std::vector<Endpoint*>&);
     Endpoint* placeJob(Group&, const JobPtr&);
-    void start(Group&, const JobPtr&, Endpoint&);
+    void start(const JobPtr&, Endpoint&, const EndpointLinkPtr&);
+    void notSent(const JobPtr&, const EndpointLinkPtr&);
     void runOn(const JobPtr&, const EndpointLinkPtr&);
     void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
     void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
@@ -204,6 +210,7 @@
     std::size_t connectionShareOf(const Group&, const GroupRules&) const;
     bool isPrimaryUnreachable(const Group&) const;
     Group& groupOf(const GroupId&);
+    const Group* findKnownGroup(const GroupId&) const;
     Endpoint* primary(const Group&);
     const Endpoint* primary(const Group&) const;
     Endpoint* find(const EndpointId&);
@@ -215,7 +222,12 @@
     const Endpoint* preferred(const Group&) const;
     void openLink(Endpoint&);
     void openWanted(Group&);
-    EndpointLinkPtr idleLink(Endpoint&, const Job&);
+    std::size_t connectionLimitOf(const Endpoint&) const;
+    bool mayOpenLink(const Endpoint&) const;
+    EndpointLinkPtr createLink(Endpoint&, const AccountId&);
+    ConnectionChoice chooseLink(const Endpoint&, const Job&, std::size_t waiting) const;
+    EndpointLinkPtr linkFor(Endpoint&, const Job&);
+    bool isAccountKnown(const AccountId&) const;
     void linkReady(const EndpointId&);
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -43,6 +43,8 @@
     Promotions,
     LeasesWithdrawn,
     LeasesExpired,
+    ConnectionsOpened,
+    ConnectionsEvicted,
     Count
 };
 
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -40,6 +40,8 @@
         { "promotions_total", "Promotions finished by this instance." },
         { "leases_withdrawn_total", "Leases on primaries that this control leader ended." },
         { "leases_expired_total", "Leases on primaries that were not renewed in time." },
+        { "endpoint_connections_opened_total", "Connections to endpoints that this instance began to open." },
+        { "endpoint_connections_evicted_total", "Idle connections that were closed for one of another account." },
     } };
 
     double seconds(Duration duration)
--- a/standin/LineServer.cpp
+++ b/standin/LineServer.cpp
@@ -100,6 +100,7 @@
         const auto group = takeWord(line);
         caller_ = takeWord(line);
         server_.noteCaller(caller_);
+        server_.mostConnections_ = std::max<std::size_t>(server_.mostConnections_, server_.connections_);
         if (server_.isCutFrom(caller_))
             return;
         if (group != server_.group_.name() || (!line.empty() && line != server_.id_.value_))
--- a/standin/LineServer.h
+++ b/standin/LineServer.h
@@ -48,6 +48,8 @@
     void cutFrom(const std::string& caller);
     std::vector<RanStatement> ran() const;
     std::size_t connections() const { return connections_; }
+    /// Open at once when a session started.
+    std::size_t mostConnections() const { return mostConnections_; }
     /// Who opened each connection, in order, with those that were refused.
     std::vector<std::string> callers() const;
     /// Looks for a text that must not reach a database in all messages from now on.
@@ -69,6 +71,7 @@
     const std::string address_;
     LineFaults faults_;
     std::atomic<std::size_t> connections_ { 0 };
+    std::atomic<std::size_t> mostConnections_ { 0 };
     mutable std::mutex mutex_;
     std::vector<RanStatement> ran_; // guarded by mutex_
     std::vector<std::string> callers_; // guarded by mutex_
--- a/tests/RouteCatalogTest.cpp
+++ b/tests/RouteCatalogTest.cpp
@@ -72,9 +72,8 @@
 {
     auto catalog = catalogOf({ route("verdicts"), route("notices") });
     catalog.routes_[1].isPublic_ = true;
-    const auto account = [&](const Route& used, const std::string& key) {
-        return accountFor(catalog, used, digestOf(key));
-    };
+    const auto account
+        = [&](const Route& used, const std::string& key) { return accountFor(catalog, used, digestOf(key)); };
     CHECK(account(catalog.routes_[0], "any") == AccountId());
     catalog.accounts_ = ClientAccounts { { { AccountId("ovens"), { digestOf("k1") }, 0, {} } }, {} };
     catalog.accounts_->byKey_.emplace(digestOf("k1"), 0);
--- a/tests/integration/AccountTest.cpp
+++ b/tests/integration/AccountTest.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
-#include <atomic>
+#include <algorithm>
+#include <map>
+#include <set>
 #include <thread>
 
 using namespace cassiahollow;
@@ -34,6 +36,63 @@
     return answer.error_.empty() && !answer.signature_.empty() && answer.mark_ != '?';
 }
 
+bool isPromise(const ClientAnswer& answer)
+{
+    return answer.error_ == "BUSY" || answer.error_ == "ABORTED";
+}
+
+// A client of one account that writes, reads and runs transactions, and remembers the ids of its statements.
+class Caller {
+public:
+    Caller(GatewayHarness& harness, const std::string& key, const std::string& item)
+        : client_(harness.client("receipts", key))
+        , item_(item)
+        , thread_([this] { run(); })
+    {
+    }
+    ~Caller() { end(); }
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
+
+    void end()
+    {
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    std::set<std::string> ids_;
+    std::size_t done_ { 0 };
+    std::size_t wrong_ { 0 }; ///< Answers that are neither a success nor a promise.
+
+private:
+    static constexpr int rounds = 20;
+
+    bool query(const std::string& text)
+    {
+        const auto answer = client_->query(text);
+        ids_.insert(client_->id());
+        done_ += isDone(answer) ? 1 : 0;
+        wrong_ += isDone(answer) || isPromise(answer) ? 0 : 1;
+        return isDone(answer);
+    }
+
+    void run()
+    {
+        for (int i = 0; i < rounds; ++i) {
+            query("WRITE " + item_ + " " + std::to_string(i));
+            query("READ " + item_);
+            if (i % 3 == 0 && query("BEGIN") && query("READ " + item_) && query("WRITE " + item_ + " t"))
+                query("COMMIT");
+            else if (i % 3 == 0)
+                client_->query("ROLLBACK");
+        }
+    }
+
+    std::unique_ptr<LineClient> client_;
+    const std::string item_;
+    std::thread thread_;
+};
+
 void isolate(GatewayHarness& harness, bool isolated)
 {
     harness.onGateway([&](StatementGateway& gateway) { gateway.setIsolated(isolated, false); });
@@ -164,3 +223,94 @@
     contact(0s);
     CHECK(client->query("READ item").rows_ == std::vector<std::string> { "x" });
 }
+
+// Guards against a statement on a connection of another account, against more connections than the limit, and against
+// keys that are sent to a database.
+TEST_CASE("accounts that share few connections never use each other's")
+{
+    constexpr std::size_t limit = 2;
+    auto options = withAccounts();
+    options.connectionLimit_ = limit;
+    (*options.accounts_)["docks"] = { "key-of-docks" };
+    GatewayHarness harness(options);
+    for (std::size_t i = 0; i < harness.servers(); ++i)
+        harness.server(i).watchFor("key-of-");
+    std::map<std::string, std::vector<std::unique_ptr<Caller>>> callers;
+    for (const std::string account : { "ovens", "mills", "docks" }) {
+        for (const std::string number : { "1", "2" })
+            callers[account].push_back(std::make_unique<Caller>(harness, "key-of-" + account, account + number));
+    }
+    std::map<std::string, std::string> accountOf;
+    for (const auto& [account, own] : callers) {
+        for (const auto& caller : own) {
+            caller->end();
+            CHECK(caller->done_ > 0);
+            CHECK(caller->wrong_ == 0);
+            for (const auto& id : caller->ids_)
+                accountOf[id] = account;
+        }
+    }
+    std::size_t ran = 0;
+    for (std::size_t i = 0; i < harness.servers(); ++i) {
+        auto& server = harness.server(i);
+        CHECK_FALSE(server.hasReceivedWatched());
+        CHECK(server.mostConnections() <= limit);
+        for (const auto& statement : server.ran()) {
+            ++ran;
+            CHECK(accountOf[statement.query_] == statement.caller_);
+        }
+    }
+    CHECK(ran > 0);
+    const auto openers = harness.server(0).callers();
+    CHECK(openers.size() > limit);
+    for (const std::string account : { "ovens", "mills", "docks" })
+        CHECK(std::count(openers.begin(), openers.end(), account) > 0);
+}
+
+// Guards against a statement that is reported as possibly run although its connection was refused.
+TEST_CASE("a statement whose connection is refused was not sent")
+{
+    GatewayHarness harness(withAccounts());
+    const auto client = harness.client("receipts", "key-of-ovens");
+    harness.server(0).faults().connectionLimit_ = 0;
+    CHECK(client->query("WRITE item x").error_ == "BUSY");
+    CHECK(harness.runsOf(client->id()) == 0);
+    CHECK(client->query("BEGIN").mark_ == 'T');
+    CHECK(client->query("WRITE item y").error_ == "BUSY");
+    CHECK(isDone(client->query("ROLLBACK")));
+    harness.server(0).faults().connectionLimit_ = 1000;
+    CHECK(waitUntil([&] { return isDone(client->query("WRITE item z")); }));
+    CHECK(client->query("READ item").rows_ == std::vector<std::string> { "z" });
+}
+
+// Guards against reads that fail because one replica accepts no connection of their account.
+TEST_CASE("a read whose connection is refused runs at another endpoint")
+{
+    GatewayHarness harness(withAccounts());
+    const auto client = harness.client("audits", "");
+    REQUIRE(waitUntil([&] { return isDone(client->query("READ item")); }));
+    harness.server(1).faults().connectionLimit_ = 0;
+    const auto member = harness.client("receipts", "key-of-ovens");
+    REQUIRE(waitUntil([&] { return isDone(member->query("WRITE item x")); }));
+    for (int i = 0; i < 20; ++i)
+        CHECK(isDone(member->query("READ item")));
+}
+
+// Guards against a session that stays with an account that has lost its key to another one.
+TEST_CASE("a session whose key moves goes on as the new account")
+{
+    auto options = withAccounts();
+    GatewayHarness harness(options);
+    const auto client = harness.client("verdicts", "key-of-ovens");
+    REQUIRE(waitUntil([&] { return isDone(client->query("WRITE item x")); }));
+    const auto first = client->id();
+    options.accounts_ = { { "ovens", {} }, { "mills", { "key-of-mills", "key-of-ovens" } } };
+    harness.configure(options);
+    REQUIRE(waitUntil([&] { return isDone(client->query("WRITE item y")); }));
+    std::map<std::string, std::string> callerOf;
+    for (const auto& statement : harness.server(0).ran())
+        callerOf[statement.query_] = statement.caller_;
+    CHECK(callerOf[first] == "ovens");
+    CHECK(callerOf[client->id()] == "mills");
+    CHECK(harness.counted(Reason::KeyRemoved) == 0);
+}
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -230,6 +230,11 @@
             { "Type", "read_your_writes" }, { "TimeoutMs", 1000 }, { "TargetLatencyMs", 500 }, { "Priority", 1 },
             { "Service", "returns" }, { "MaxStalenessMs", 2500 } });
     }
+    if (options_.accounts_) {
+        document["Tenants"] = json::array();
+        for (const auto& [name, keys] : *options_.accounts_)
+            document["Tenants"].push_back({ { "Name", name }, { "ApiKeys", keys } });
+    }
     const auto end = Clock::now() + limit;
     for (std::size_t i = 0; Clock::now() < end; ++i) {
         if (callNode("PUT", controls_[i % controls_.size()].address_, "/api/config", document.dump()).status_ == 200)
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -6,8 +6,10 @@
 #include <atomic>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -44,6 +46,8 @@
         /// Of one database, for all instances. With fewer than there are entry instances, some of them hold the
         /// connections for the others.
         std::size_t connectionLimit_ { 40 };
+        /// Names and keys of client accounts; nothing for a configuration without accounts.
+        std::optional<std::map<std::string, std::vector<std::string>>> accounts_ {};
     };
 
     NodeDeployment(std::size_t controls, std::size_t entries);
