--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -42,7 +42,10 @@
     std::optional<RemoteTransaction> remote_;
     SqlSession sql_;
     bool started_ { false };
-    std::optional<platform::ClientStart> heldStart_; ///< Arrived before this instance had a catalog.
+    std::optional<std::string> heldDatabase_; ///< Of a start that arrived before this instance had a catalog.
+    KeyDigest key_; ///< Of the client's key, which is kept nowhere.
+    AccountId account_; ///< As of the session's last operation; empty without accounts and on public routes.
+    bool isRevoked_ { false }; ///< Its key was removed: the session ends with its statement or transaction.
     bool busy_ { false }; ///< A statement is under way; the next one waits in the channel.
     bool closed_ { false };
     bool wrote_ { false }; ///< The open transaction has sent a write.
@@ -101,7 +104,6 @@
         return static_cast<std::size_t>(std::count_if(links_.begin(), links_.end(),
             [](const EndpointLinkPtr& link) { return link->isReady() && !link->taken_; }));
     }
-    std::size_t room() const { return sendCapacity(load_, idleLinks()); }
     bool isOpening() const
     {
         return std::any_of(links_.begin(), links_.end(),
@@ -131,6 +133,7 @@
     bool usedHolders_ { false }; ///< Whether others held the connections at the last update.
     bool isUnreachableAtHolder_ { false }; ///< The last holder that replied cannot use the primary.
     bool sampling_ { false };
+    bool usesAccounts_ { false }; ///< Connections belong to accounts. Stays on, because some may still.
     std::set<JobPtr> awaitSample_; ///< Reads without a floor.
     std::set<JobPtr> jobs_; ///< All statements that wait or run.
     EventLoop::TimerId timer_;
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiahollow/connection/AccountConnections.h"
 #include "cassiahollow/connection/SqlSession.h"
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Metrics.h"
@@ -34,6 +35,8 @@
         Incarnation incarnation_ { 0 };
         std::string forwardPort_; ///< Where all instances take statements of others.
         std::string deploymentKey_;
+        bool failClosed_ { false }; ///< Refuses operations that need a key when the last contact is older than this:
+        std::chrono::milliseconds revokeTime_ { 5000 };
     };
 
     StatementGateway(EventLoop&, Metrics&, Options);
@@ -46,6 +49,8 @@
 
     /// A newer catalog. Statements that are under way go on with the one they began with.
     void setCatalog(std::shared_ptr<const RouteCatalog>);
+    /// When control members last confirmed what this instance knows.
+    void setConfirmedContact(TimePoint contact) { confirmedContact_ = contact; }
     /// The endpoints as control members know them, and this instance's place among the instances.
     void setEndpoints(const std::vector<RegisteredEndpoint>&);
     void setShare(std::size_t instances, std::size_t rank);
@@ -101,7 +106,8 @@
 
     // Sessions.
     std::size_t receive(const SessionPtr&, std::string_view);
-    void handle(const SessionPtr&, const platform::ClientStart&);
+    void handle(const SessionPtr&, platform::ClientStart);
+    void begin(const SessionPtr&, const std::string& database);
     void handle(const SessionPtr&, platform::ClientQuery);
     void startHeld();
     void beginTransaction(const SessionPtr&, bool readOnly);
@@ -113,6 +119,11 @@
     void release(const SessionPtr&, bool rollback);
     void sessionClosed(const SessionPtr&);
     void finishOperation(const SessionPtr&);
+    bool identify(const SessionPtr&);
+    void refuseKey(const SessionPtr&, std::string_view database);
+    bool isContactTooOld() const;
+    void endRemovedKeys();
+    void endRevoked(const SessionPtr&);
     void endIdleTransactions();
     void closeResting();
 
@@ -121,14 +132,19 @@
     static bool mayKeep(const Job&);
     void submit(const JobPtr&);
     void enqueueJob(const JobPtr&);
+    bool mayPlace(Group&, const Job&);
     void resizeQueues(Group&);
     void dispatch(Group&);
     void refuseJob(const JobPtr&, Reason);
+    std::size_t room(const Endpoint&) const;
     std::size_t freeAtPrimary(const Group&) const;
     std::size_t freeForReads(const Group&) const;
+    bool serveQueue(
+        Group&, AdmissionQueue&, std::size_t free, const std::function<bool(const AdmissionItem&)>& mayStart);
     std::vector<PlacementCandidate> candidatesFor(const Group&, const Job&, std::vector<Endpoint*>&);
     Endpoint* placeJob(Group&, const JobPtr&);
-    void start(Group&, const JobPtr&, Endpoint&);
+    void start(const JobPtr&, Endpoint&, const EndpointLinkPtr&);
+    void notSent(const JobPtr&, const EndpointLinkPtr&);
     void runOn(const JobPtr&, const EndpointLinkPtr&);
     void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
     void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
@@ -194,6 +210,7 @@
     std::size_t connectionShareOf(const Group&, const GroupRules&) const;
     bool isPrimaryUnreachable(const Group&) const;
     Group& groupOf(const GroupId&);
+    const Group* findKnownGroup(const GroupId&) const;
     Endpoint* primary(const Group&);
     const Endpoint* primary(const Group&) const;
     Endpoint* find(const EndpointId&);
@@ -205,7 +222,12 @@
     const Endpoint* preferred(const Group&) const;
     void openLink(Endpoint&);
     void openWanted(Group&);
-    EndpointLinkPtr idleLink(Endpoint&, const Job&);
+    std::size_t connectionLimitOf(const Endpoint&) const;
+    bool mayOpenLink(const Endpoint&) const;
+    EndpointLinkPtr createLink(Endpoint&, const AccountId&);
+    ConnectionChoice chooseLink(const Endpoint&, const Job&, std::size_t waiting) const;
+    EndpointLinkPtr linkFor(Endpoint&, const Job&);
+    bool isAccountKnown(const AccountId&) const;
     void linkReady(const EndpointId&);
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
@@ -240,6 +262,7 @@
     LeaseView leases_;
     bool hadLeases_ { false }; ///< Leases were valid at the last tick.
     std::function<void()> reportHandler_;
+    TimePoint confirmedContact_;
     bool shuttingDown_ { false };
     bool isolated_ { false };
     bool sendAway_ { false };
