--- a/src/process/StatementHolders.cpp
+++ b/src/process/StatementHolders.cpp
@@ -1,8 +1,8 @@
 #include "cassiahollow/process/StatementHolders.h"
 
+#include "cassiahollow/process/Rendezvous.h"
+
 #include <algorithm>
-#include <set>
-#include <xxhash.h>
 
 namespace cassiahollow {
 
@@ -13,24 +13,6 @@
     // The part of the remaining connections that the holders of one assignment use.
     constexpr std::size_t assignmentDivisor = 2;
 
-    std::uint64_t weightOf(const InstanceId& instance, const std::string& key)
-    {
-        return XXH3_64bits_withSeed(
-            key.data(), key.size(), XXH3_64bits(instance.value_.data(), instance.value_.size()));
-    }
-
-    std::vector<InstanceId> byWeight(const std::vector<InstanceId>& instances, const GroupId& group)
-    {
-        std::vector<std::pair<std::uint64_t, InstanceId>> weighted;
-        for (const auto& instance : instances)
-            weighted.emplace_back(weightOf(instance, group.value_), instance);
-        std::sort(weighted.begin(), weighted.end(), std::greater<>());
-        std::vector<InstanceId> order;
-        for (auto& [weight, instance] : weighted)
-            order.push_back(std::move(instance));
-        return order;
-    }
-
     std::size_t usableConnections(const HolderInputs& inputs)
     {
         const auto limit = inputs.connectionLimit_;
@@ -56,7 +38,7 @@
     auto groups = inputs.groups_;
     std::sort(groups.begin(), groups.end());
     for (const auto& group : groups) {
-        auto order = byWeight(inputs.instances_, group);
+        auto order = rendezvousOrder(inputs.instances_, group.value_);
         std::size_t chosen = 0;
         const auto choose = [&](std::size_t limit) {
             for (auto i = chosen; i < order.size() && chosen < holders.holdersPerGroup_; ++i) {
@@ -86,7 +68,7 @@
     const auto count = static_cast<std::ptrdiff_t>(std::min(holders.holdersPerGroup_, order.size()));
     if (count > 1) {
         const auto first
-            = static_cast<std::ptrdiff_t>(weightOf(self, group.value_) % static_cast<std::uint64_t>(count));
+            = static_cast<std::ptrdiff_t>(rendezvousWeight(self, group.value_) % static_cast<std::uint64_t>(count));
         std::rotate(order.begin(), order.begin() + first, order.begin() + count);
     }
     return order;
