Tell entry instances the instances of other data centres, and read the settings of quotas

An owner of a quota borrows from the owners in other data centres, so entry instances need to know who is there. Control members send the list only to instances that ask for it, which is while the catalog has quotas, and at most every 2 s. The data centres that a quota is divided by come from the settings, so that a partition does not change them.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -31,6 +31,9 @@
     constexpr auto pushInterval = 150ms;
     // A member that is not heard for this long may have a connection that has gone silent.
     constexpr auto memberSilence = 1500ms;
+    // The list of the other data centres has some 9 KB at 620 instances. It is sent to one instance no more often than
+    // this while many of them start or end.
+    constexpr auto othersInterval = 2s;
     constexpr auto storageRetry = 500ms;
     // A stopping member waits for its removal for this long: two elections, and far less than callers grant a stop.
     constexpr auto departureTime = 1s;
@@ -376,6 +379,7 @@
     instance.catalogVersion_ = request.catalogVersion_;
     instance.dataCentre_ = request.dataCentre_;
     instance.neighboursMark_ = request.neighboursMark_;
+    instance.othersMark_ = request.othersMark_;
     if (request.missesResponses_)
         peers_.reconnect(sender.value_);
     auto answer = feedFor(sender, instance);
@@ -698,6 +702,31 @@
         answer.neighbours_ = std::move(neighbours);
 }
 
+// Tells an instance who serves the other data centres, if it needs that and it has changed.
+void ControlHost::addOthers(FeedResponse& answer, const EntryInstances& all, EntryInstance& instance)
+{
+    if (!instance.othersMark_)
+        return;
+    std::map<DataCentre, std::vector<InstanceId>> others;
+    std::string key;
+    for (const auto& [id, dataCentre] : all) {
+        if (dataCentre == instance.dataCentre_)
+            continue;
+        others[dataCentre].push_back(id);
+        key.append(dataCentre.value_).append(1, ' ').append(id.value_).push_back('\n');
+    }
+    answer.othersMark_ = XXH3_64bits(key.data(), key.size());
+    const auto now = Clock::now();
+    if (answer.othersMark_ == *instance.othersMark_ || now - instance.othersSent_ < othersInterval) {
+        answer.othersMark_ = *instance.othersMark_;
+        return;
+    }
+    instance.othersSent_ = now;
+    answer.others_.emplace();
+    for (auto& [dataCentre, instances] : others)
+        answer.others_->push_back({ dataCentre, std::move(instances) });
+}
+
 // Answers the load pattern "all machines start at once": the first instances that ask must not take the connections of
 // those that ask a moment later.
 std::size_t ControlHost::expectedInstances(std::size_t asked) const
@@ -752,6 +781,7 @@
     answer.instances_ = expectedInstances(all.size());
     answer.rank_ = static_cast<std::size_t>(std::distance(all.begin(), all.lower_bound(id)));
     addNeighbours(answer, all, instance);
+    addOthers(answer, all, instance);
     return answer;
 }
 
@@ -776,6 +806,8 @@
         sendDirectory(id, answer);
         instance.registryMark_ = answer.registryVersion_;
         instance.neighboursMark_ = answer.neighboursMark_;
+        if (answer.others_)
+            instance.othersMark_ = answer.othersMark_;
         instance.catalogVersion_ = std::max(instance.catalogVersion_, answer.catalogVersion_);
     }
 }
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -76,6 +76,8 @@
         bool takesRequests_ { true };
         DataCentre dataCentre_;
         std::uint64_t neighboursMark_ { 0 };
+        std::optional<std::uint64_t> othersMark_; ///< Nothing if it does not need the other data centres.
+        TimePoint othersSent_;
         TimePoint pushed_;
         bool isPushDue_ { false };
     };
@@ -133,6 +135,7 @@
     EntryInstances findEntryInstances() const;
     RegistryUpdate updateWith(std::vector<RegisteredEndpoint>) const;
     static void addNeighbours(FeedResponse&, const EntryInstances&, const EntryInstance&);
+    static void addOthers(FeedResponse&, const EntryInstances&, EntryInstance&);
     std::size_t expectedInstances(std::size_t asked) const;
     void sendDirectory(const InstanceId& recipient, const DirectoryMessage&);
     void spread(std::vector<RegisteredEndpoint>);
--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -4,6 +4,8 @@
 #include "cassiahollow/version/ControlLog.h"
 #include "process/SettingsReader.h"
 
+#include <set>
+
 namespace cassiahollow {
 
 namespace {
@@ -16,16 +18,47 @@
     }
 
     // In seconds, because the platform gives fractions of them.
-    void readCatchUp(SettingsReader& reader, std::chrono::milliseconds& value)
+    void readSeconds(SettingsReader& reader, const std::string& key, std::chrono::milliseconds& value)
     {
         double seconds = std::chrono::duration<double>(value).count();
-        reader.read("catch_up_s", seconds, false, "a number of seconds");
+        reader.read(key, seconds, false, "a number of seconds");
         if (!(seconds >= 0.5 && seconds <= 600))
-            return reader.fail(
-                reader.child("catch_up_s"), reader.pathOf("catch_up_s"), "is out of range; set it between 0.5 and 600");
+            return reader.fail(reader.child(key), reader.pathOf(key), "is out of range; set it between 0.5 and 600");
         value = std::chrono::round<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
     }
 
+    void readNumber(SettingsReader& reader, const std::string& key, double& value, int low, int high)
+    {
+        reader.read(key, value, false, "a number");
+        if (!(value >= low && value <= high))
+            reader.fail(reader.child(key), reader.pathOf(key),
+                "is out of range; set it between " + std::to_string(low) + " and " + std::to_string(high));
+    }
+
+    void readQuota(SettingsReader reader, NodeSettings& settings)
+    {
+        readSeconds(reader, "window_s", settings.quotaWindow_);
+        readNumber(reader, "overage", settings.quotaOverage_, 0, 1);
+        readNumber(reader, "slack", settings.quotaSlack_, 0, 1000000);
+        reader.refuseUnknownKeys();
+    }
+
+    void readDataCentres(SettingsReader& reader, NodeSettings& settings)
+    {
+        std::vector<std::string> names;
+        reader.read("data_centres", names, false, "a list of data centres");
+        std::set<std::string> known(names.begin(), names.end());
+        const auto fail = [&](std::string message) {
+            reader.fail(reader.child("data_centres"), reader.pathOf("data_centres"), std::move(message));
+        };
+        if (known.size() != names.size() || known.contains(""))
+            fail("has a name twice or an empty one; name each data centre once");
+        if (!names.empty() && !settings.dataCentre_.empty() && !known.contains(settings.dataCentre_.value_))
+            fail("does not have data_centre; name all data centres of the deployment");
+        for (auto& name : names)
+            settings.dataCentres_.emplace_back(std::move(name));
+    }
+
     void readListen(SettingsReader reader, NodeSettings& settings)
     {
         readOptionalAddress(reader, "statements", settings.statements_);
@@ -53,12 +86,14 @@
         reader.read("data_folder", settings.dataFolder_, false, "a folder on a disk of this instance");
         reader.read("may_found", settings.mayFound_, false, "true or false");
         reader.readCount("tolerated_losses", settings.toleratedLosses_, 0, maximumControlVoters / 2);
-        readCatchUp(reader, settings.catchUp_);
+        readSeconds(reader, "catch_up_s", settings.catchUp_);
         readOptionalAddress(reader, "authority", settings.authority_);
         reader.read("authority_checks_fences", settings.authorityChecksFences_, false, "true or false");
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
         reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
+        readDataCentres(reader, settings);
+        readQuota(reader.map("quota"), settings);
         reader.refuseUnknownKeys();
         if (settings.statements_.empty() == settings.operators_.empty())
             reader.fail(root, "listen", "needs either statements or operators; set one of them");
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -29,6 +29,10 @@
     std::chrono::milliseconds heartbeat_ { 1200 }; ///< The interval at which endpoints report.
     std::chrono::milliseconds shutdown_ { 6000 }; ///< From the signal to the forced end.
     std::size_t maximumFiles_ { 1024 };
+    std::vector<DataCentre> dataCentres_; ///< All of the deployment; empty if control members are to count them.
+    std::chrono::milliseconds quotaWindow_ { 5000 }; ///< Quotas hold in every sliding window of this length.
+    double quotaOverage_ { 0.1 }; ///< The part of a quota by which a window may exceed it.
+    double quotaSlack_ { 20 }; ///< Operations by which a window may exceed the quota and its overage.
 };
 
 struct NodeSettingsFile {
--- a/include/cassiahollow/process/DirectoryFeed.h
+++ b/include/cassiahollow/process/DirectoryFeed.h
@@ -35,6 +35,16 @@
     LeaseVersion leaseVersion_; ///< The instance has replaced all leases older than this version.
     DataCentre dataCentre_; ///< Of the instance.
     std::uint64_t neighboursMark_ { 0 }; ///< neighboursMark_ of the last response with neighbours, or 0.
+    /// othersMark_ of the last response with other data centres, or 0; nothing if the instance does not need them.
+    std::optional<std::uint64_t> othersMark_;
+};
+
+/// The entry instances of one data centre that take requests.
+struct DataCentreInstances {
+    DataCentre dataCentre_;
+    std::vector<InstanceId> instances_;
+
+    bool operator==(const DataCentreInstances&) const = default;
 };
 
 /// A log position of a group's primary and the time since it was requested. Only the instance that requested the
@@ -75,6 +85,9 @@
     /// All entry instances of the requester's data centre that take requests; absent if the requester knows them.
     std::optional<std::vector<InstanceId>> neighbours_;
     std::size_t dataCentres_ { 0 }; ///< Data centres with entry instances.
+    std::uint64_t othersMark_ { 0 }; ///< Identifies the instances of the other data centres.
+    /// The entry instances of the other data centres; absent if the requester knows them or does not need them.
+    std::optional<std::vector<DataCentreInstances>> others_;
 };
 
 /// Sent between control members: endpoint records; also serves as a heartbeat.
--- a/src/process/DirectoryFeed.cpp
+++ b/src/process/DirectoryFeed.cpp
@@ -111,6 +111,22 @@
         return instances;
     }
 
+    json toJson(const std::vector<DataCentreInstances>& dataCentres)
+    {
+        auto out = json::array();
+        for (const auto& item : dataCentres)
+            out.push_back(json::array({ item.dataCentre_.value_, toJson(item.instances_) }));
+        return out;
+    }
+
+    std::vector<DataCentreInstances> dataCentresFrom(const json& in)
+    {
+        std::vector<DataCentreInstances> dataCentres;
+        for (const auto& item : in)
+            dataCentres.push_back({ DataCentre(item.at(0).get<std::string>()), instancesFrom(item.at(1)) });
+        return dataCentres;
+    }
+
     json toJson(const std::vector<EndpointObservation>& reports)
     {
         auto out = json::array();
@@ -191,7 +207,8 @@
     {
         return json::array({ KindFeedRequest, message.number_, message.catalogVersion_, message.registryVersion_,
             message.takesRequests_, message.missesResponses_, toJson(message.reports_), toJson(message.leaseVersion_),
-            message.dataCentre_.value_, message.neighboursMark_ });
+            message.dataCentre_.value_, message.neighboursMark_,
+            message.othersMark_ ? json(*message.othersMark_) : json() });
     }
 
     json toJson(const FeedResponse& message, TimePoint now)
@@ -203,8 +220,8 @@
             message.registryVersion_, message.records_ ? toJson(*message.records_, now) : json(),
             message.leader_.value_, toJson(message.members_), message.instances_, message.rank_,
             toJson(message.samples_), toAge(message.contactAge_), message.leases_ ? toJson(*message.leases_) : json(),
-            message.neighboursMark_, message.neighbours_ ? toJson(*message.neighbours_) : json(),
-            message.dataCentres_ });
+            message.neighboursMark_, message.neighbours_ ? toJson(*message.neighbours_) : json(), message.dataCentres_,
+            message.othersMark_, message.others_ ? toJson(*message.others_) : json() });
     }
 
     json toJson(const RegistryUpdate& message, TimePoint now)
@@ -241,6 +258,8 @@
             request.dataCentre_ = DataCentre(in.at(8).get<std::string>());
             request.neighboursMark_ = in.at(9).get<std::uint64_t>();
         }
+        if (in.size() > 10 && !in.at(10).is_null())
+            request.othersMark_ = in.at(10).get<std::uint64_t>();
         return request;
     }
 
@@ -273,6 +292,11 @@
                 response.neighbours_ = instancesFrom(in.at(15));
             response.dataCentres_ = in.at(16).get<std::size_t>();
         }
+        if (in.size() > 18) {
+            response.othersMark_ = in.at(17).get<std::uint64_t>();
+            if (!in.at(18).is_null())
+                response.others_ = dataCentresFrom(in.at(18));
+        }
         return response;
     }
 
--- a/tests/DirectoryFeedTest.cpp
+++ b/tests/DirectoryFeedTest.cpp
@@ -220,6 +220,31 @@
     CHECK(arrived.dataCentres_ == 3);
 }
 
+// Guards against an instance of an earlier version that is taken for one that needs the other data centres.
+TEST_CASE("the instances of other data centres arrive only when asked for")
+{
+    FeedRequest request;
+    CHECK_FALSE(std::get<FeedRequest>(carried(request)).othersMark_);
+    request.othersMark_ = 0;
+    CHECK(std::get<FeedRequest>(carried(request)).othersMark_ == std::uint64_t { 0 });
+    CHECK_FALSE(
+        std::get<FeedRequest>(carriedWithout(request, [](nlohmann::json& fields) { fields.erase(10); })).othersMark_);
+    FeedResponse answer;
+    answer.dataCentres_ = 3;
+    answer.othersMark_ = 9;
+    CHECK_FALSE(std::get<FeedResponse>(carried(answer)).others_);
+    answer.others_ = { { DataCentre("b"), { InstanceId("x"), InstanceId("y") } }, { DataCentre("c"), {} } };
+    const auto arrived = std::get<FeedResponse>(carried(answer));
+    CHECK(arrived.othersMark_ == 9);
+    CHECK(arrived.others_ == answer.others_);
+    const auto earlier = std::get<FeedResponse>(carriedWithout(answer, [](nlohmann::json& fields) {
+        fields.erase(18);
+        fields.erase(17);
+    }));
+    CHECK_FALSE(earlier.others_);
+    CHECK(earlier.dataCentres_ == 3);
+}
+
 TEST_CASE("leases arrive whole, and with their age")
 {
     const LeaseTable table { { 3, 5 }, { { GroupId("g"), EndpointId("i-1") }, { GroupId("h"), EndpointId("i-2") } } };
--- a/tests/NodeSettingsTest.cpp
+++ b/tests/NodeSettingsTest.cpp
@@ -70,6 +70,26 @@
     CHECK_FALSE(loadNodeSettings("/nowhere/node.yaml").errors_.empty());
 }
 
+// Guards against quotas that count a data centre twice or not at all.
+TEST_CASE("the settings of quotas are read and checked")
+{
+    CHECK(load(entry).settings_.dataCentres_.empty());
+    CHECK(load(entry).settings_.quotaWindow_ == 5s);
+    CHECK(load(entry + "data_centres: []\nquota:\n").errors_.empty());
+    const auto file = load(entry + "data_centres: [a, \"b\"]\nquota: {window_s: 2.5, overage: 0.2, slack: 7}\n");
+    REQUIRE(file.errors_.empty());
+    CHECK(file.settings_.dataCentres_ == std::vector { DataCentre("a"), DataCentre("b") });
+    CHECK(file.settings_.quotaWindow_ == 2500ms);
+    CHECK(file.settings_.quotaOverage_ == 0.2);
+    CHECK(file.settings_.quotaSlack_ == 7);
+    for (const auto* wrong :
+        { "data_centres: [a, a]", "data_centres: [b, c]", "data_centres: [a, \"\"]", "quota: {window_s: 0}",
+            "quota: {overage: 2}", "quota: {slack: -1}", "quota: {slack: .nan}", "quota: {rate: 1}" }) {
+        CAPTURE(wrong);
+        CHECK(load(entry + wrong + "\n").errors_.size() == 1);
+    }
+}
+
 TEST_CASE("the example of a node can be used")
 {
     CHECK(loadNodeSettings(std::string(CASSIAHOLLOW_EXAMPLES) + "/node.yaml").errors_.empty());
