--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -70,6 +70,13 @@
         reader.refuseUnknownKeys();
     }
 
+    void readAccounts(SettingsReader reader, NodeSettings& settings)
+    {
+        reader.read("fail_closed", settings.failClosed_, false, "true or false");
+        reader.readMilliseconds("revoke_ms", settings.revokeTime_, 100, 3600000);
+        reader.refuseUnknownKeys();
+    }
+
     void readAll(const YAML::Node& root, NodeSettingsFile& file)
     {
         auto& settings = file.settings_;
@@ -94,6 +101,7 @@
         reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
         readDataCentres(reader, settings);
         readQuota(reader.map("quota"), settings);
+        readAccounts(reader.map("accounts"), settings);
         reader.refuseUnknownKeys();
         if (settings.statements_.empty() == settings.operators_.empty())
             reader.fail(root, "listen", "needs either statements or operators; set one of them");
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds quotaWindow_ { 5000 }; ///< Quotas hold in every sliding window of this length.
     double quotaOverage_ { 0.1 }; ///< The part of a quota by which a window may exceed it.
     double quotaSlack_ { 20 }; ///< Operations by which a window may exceed the quota and its overage.
+    bool failClosed_ { false }; ///< Without contact to control members, refuse what needs a key.
+    std::chrono::milliseconds revokeTime_ { 5000 }; ///< How old the last contact may be then.
 };
 
 struct NodeSettingsFile {
