Take a token of the account's quota for each operation

The gateway asks for a token before the first statement of an operation of its own client is sent anywhere, and refuses the operation as not run without one (quota_exceeded, or quota_unavailable if no owner answers). Operations of other instances' clients and repetitions take none. A token whose operation was sent nowhere goes back to the cache.

--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -43,6 +43,8 @@
         StatementGateway::Options options { settings.name_, settings.dataCentre_, !settings.authorityChecksFences_ };
         options.failClosed_ = settings.failClosed_;
         options.revokeTime_ = settings.revokeTime_;
+        options.quotas_ = { settings.quotaWindow_, settings.quotaOverage_, settings.quotaSlack_,
+            settings.dataCentres_.size() };
         if (settings.forward_.empty())
             return options;
         options.self_ = InstanceId(settings.peers_);
@@ -193,6 +195,12 @@
             [this](const Failure& failure) { metrics_.count(failure.reason_); },
             [this] { metrics_.count(Reason::SettingsInvalid); });
     }
+    if (requestedAt)
+        gateway_.confirmInstances(*requestedAt);
+    if (answer.others_) {
+        gateway_.setOtherInstances(*answer.others_);
+        othersMark_ = answer.othersMark_;
+    }
     if (answer.instances_ > 0)
         gateway_.setShare(answer.instances_, answer.rank_);
     if (answer.neighbours_) {
@@ -224,6 +232,10 @@
     metrics_.setGauge("held_groups", static_cast<double>(gateway_.heldGroups()));
     metrics_.setGauge("forwarded_statements", static_cast<double>(gateway_.forwardedStatements()));
     metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
+    const auto quotas = gateway_.quotaCounts();
+    metrics_.setGauge("quota_ledgers", static_cast<double>(quotas.owned_));
+    metrics_.setGauge("quota_standin_ledgers", static_cast<double>(quotas.standIns_));
+    metrics_.setGauge("quota_waiting_operations", static_cast<double>(quotas.waiting_));
     connection->reply({ 200, metrics_.render(), "text/plain" });
 }
 
@@ -280,6 +292,8 @@
     request.leaseVersion_ = gateway_.leaseVersion();
     request.dataCentre_ = settings_.dataCentre_;
     request.neighboursMark_ = neighboursMark_;
+    if (gateway_.hasQuotas())
+        request.othersMark_ = othersMark_;
     const auto now = suspendAwareNow();
     askedAt_.emplace(number_, now);
     if (askedAt_.size() > maximumOpenRequests)
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -73,6 +73,7 @@
     bool reportDue_ { false }; ///< A question with fresh reports is scheduled.
     std::string registryMark_;
     std::uint64_t neighboursMark_ { 0 };
+    std::uint64_t othersMark_ { 0 };
     bool shuttingDown_ { false };
     Readiness readiness_ { Readiness::Starting };
     TimePoint readinessSince_;
--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -366,6 +366,7 @@
 {
     job->isDone_ = true;
     loop_.cancel(job->timer_);
+    releaseToken(job);
     auto& group = groupOf(job->group_);
     group.jobs_.erase(job);
     group.awaitSample_.erase(job);
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -138,6 +138,7 @@
     LogLine(LogKind::Belief, "catalog_applied")
         .with("version", catalog_->version_)
         .with("routes", static_cast<std::uint64_t>(catalog_->routes_.size()));
+    updateQuotas();
     endRemovedKeys();
     startHeld();
     for (const auto& rules : catalog_->groups_) {
@@ -203,8 +204,10 @@
     const bool isChanged = instances_ != std::max<std::size_t>(instances, 1);
     instances_ = std::max<std::size_t>(instances, 1);
     rank_ = rank;
-    if (isChanged)
-        updateHolders();
+    if (!isChanged)
+        return;
+    updateHolders();
+    updateQuotaView();
 }
 
 void StatementGateway::setEndpoints(const std::vector<RegisteredEndpoint>& records)
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -41,6 +41,7 @@
     dataCentres_ = dataCentres;
     neighboursSince_ = suspendAwareNow();
     updateHolders();
+    updateQuotaView();
 }
 
 // The groups whose connections do not suffice for all instances, and the instances that may hold them.
@@ -291,6 +292,7 @@
 void StatementGateway::handle(const HolderPtr& holder, const HolderLeaving&)
 {
     holder->isLeaving_ = true;
+    quotaInstanceLeft(holder->id_);
 }
 
 void StatementGateway::handle(const HolderPtr&, const HolderProbeReply& reply)
@@ -344,6 +346,7 @@
         else if (job->outstanding_ == 0)
             forwardLost(job, wasOpen);
     }
+    quotaInstanceLost(holder);
 }
 
 void StatementGateway::forwardLost(const JobPtr& job, bool wasSent)
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -180,6 +180,9 @@
 {
     if (peers_.erase(peer) == 0)
         return;
+    if (const auto known = quotaPeers_.find(InstanceId(peer->instance_));
+        known != quotaPeers_.end() && known->second == peer)
+        quotaPeers_.erase(known);
     for (const auto& [number, session] : std::exchange(peer->operations_, {}))
         sessionClosed(session);
 }
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -84,6 +84,8 @@
     EndpointLinkPtr link_;
     std::vector<std::pair<HolderPtr, std::uint64_t>> forwards_; ///< Where it was sent, and under which number.
     std::set<InstanceId> triedHolders_;
+    std::uint64_t quotaOperation_ { 0 }; ///< Of an operation that takes a token; 0 if it needs none.
+    std::optional<QuotaDecision> token_;
     bool isDone_ { false };
     EventLoop::TimerId timer_; ///< The statement's time limit.
     AdmissionItem item_;
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -323,7 +323,7 @@
     job->needsPrimary_ = needsPrimary(*job);
     session->busy_ = true;
     session->job_ = job;
-    submit(job);
+    takeTokenFor(job);
 }
 
 void StatementGateway::answerLocal(const SessionPtr& session)
@@ -445,6 +445,7 @@
 {
     shuttingDown_ = true;
     transactionsEnd_ = suspendAwareNow() + transactionTime;
+    giveUpQuotas();
     for (const auto& peer : peers_)
         peer->channel_->send(encodeHolderMessage(HolderLeaving {}));
 }
@@ -473,6 +474,7 @@
         watchLeases();
     watchSilence();
     watchHolders();
+    wakeQuotaTimer();
     if (++ticks_ % spareLinkTicks == 0)
         closeSpareLinks();
     loop_.schedule(Clock::now() + tickInterval, [this] { tick(); });
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -4,6 +4,7 @@
 #include "cassiahollow/process/DirectoryFeed.h"
 #include "cassiahollow/process/Metrics.h"
 #include "cassiahollow/process/StatementHolders.h"
+#include "cassiahollow/request/AccountQuota.h"
 #include "cassiahollow/request/AdmissionQueue.h"
 #include "cassiahollow/request/HolderProtocol.h"
 #include "cassiahollow/request/PositionSamples.h"
@@ -36,6 +37,7 @@
         std::string deploymentKey_;
         bool failClosed_ { false }; ///< Refuses operations that need a key when the last contact is older than this:
         std::chrono::milliseconds revokeTime_ { 5000 };
+        QuotaSettings quotas_; ///< 0 data centres: as many as control members tell.
     };
 
     StatementGateway(EventLoop&, Metrics&, Options);
@@ -55,6 +57,17 @@
     void setShare(std::size_t instances, std::size_t rank);
     /// The instances of this data centre that take requests, and the data centres that have instances.
     void setNeighbours(std::vector<InstanceId> neighbours, std::size_t dataCentres);
+    /// The instances of the other data centres that take requests. Needed only with quotas.
+    void setOtherInstances(std::vector<DataCentreInstances>);
+    /// A control member has answered a request that was sent at `askedAt`.
+    void confirmInstances(TimePoint askedAt);
+    bool hasQuotas() const { return !quotas_.limits_.empty(); }
+    struct QuotaCounts {
+        std::size_t owned_ { 0 }; ///< Ledgers of accounts.
+        std::size_t standIns_ { 0 }; ///< Ledgers for owners that do not answer.
+        std::size_t waiting_ { 0 }; ///< Operations without a token yet.
+    };
+    QuotaCounts quotaCounts() const;
     /// Another instance has connected to send statements.
     void acceptPeer(const LineChannelPtr&);
 
@@ -185,6 +198,29 @@
     void watchHolders();
     void probeHolders();
 
+    // Quotas of client accounts.
+    void updateQuotas();
+    void updateQuotaView();
+    void takeTokenFor(const JobPtr&);
+    void carryOut(QuotaActions);
+    void sendQuota(const QuotaSend&);
+    void quotaInstanceLost(const HolderPtr&);
+    void quotaInstanceLeft(const InstanceId&);
+    void giveUpQuotas();
+    void receiveQuotaFrom(const InstanceId&, const QuotaMessage&);
+    void receiveQuotaFrom(const PeerPtr&, const QuotaMessage&);
+    void handle(const HolderPtr&, const QuotaGrant&);
+    void handle(const HolderPtr&, const QuotaLoan&);
+    void handle(const PeerPtr&, const QuotaRequest&);
+    void handle(const PeerPtr&, const LoanRequest&);
+    void handle(const PeerPtr&, const QuotaHandover&);
+    void decided(const QuotaDecision&);
+    void returnUnused(const QuotaDecision&);
+    void releaseToken(const JobPtr&);
+    void refuseForQuota(const JobPtr&, const QuotaDecision&);
+    void wakeQuotaTimer();
+    void scheduleQuotaWakeup();
+
     // Statements of other instances' clients that run here.
     std::size_t receiveFromPeer(const PeerPtr&, std::string_view);
     void handle(const PeerPtr&, StatementRequest);
@@ -246,6 +282,14 @@
     StatementHolders assignment_;
     std::map<InstanceId, HolderPtr> holders_;
     std::set<PeerPtr> peers_;
+    QuotaState quotas_;
+    std::vector<DataCentreInstances> others_;
+    std::size_t mostDataCentres_ { 1 }; ///< That control members have told of, without the setting.
+    std::map<std::uint64_t, JobPtr> awaitToken_; ///< By the number of the operation.
+    std::uint64_t lastQuotaOperation_ { 0 };
+    std::map<InstanceId, PeerPtr> quotaPeers_; ///< The latest connection of each instance that asked for tokens.
+    std::optional<TimePoint> quotaWakeAt_;
+    EventLoop::TimerId quotaTimer_;
     RetryBudget retryBudget_;
     LeaseView leases_;
     bool hadLeases_ { false }; ///< Leases were valid at the last tick.
--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -43,6 +43,9 @@
     Promotions,
     LeasesWithdrawn,
     LeasesExpired,
+    QuotaRequests,
+    QuotaTokensGranted,
+    QuotaTokensLent,
     Count
 };
 
--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -24,6 +24,8 @@
     SessionTokenInvalid,
     KeyRequired,
     ShuttingDown,
+    QuotaExceeded,
+    QuotaUnavailable,
     QueueFull,
     DeadlineUnreachable,
     DeadlinePassed,
--- a/include/cassiahollow/request/AccountQuota.h
+++ b/include/cassiahollow/request/AccountQuota.h
@@ -156,6 +156,7 @@
     double demandPerSecond_ { 0 };
     TimePoint demandAt_;
     TimePoint refusedUntil_; ///< The owner has no token before.
+    bool isUnavailable_ { false }; ///< Or no owner can be asked before.
     std::map<InstanceId, TimePoint> declined_; ///< Instances that are not asked before these times.
 };
 
@@ -165,6 +166,7 @@
     std::uint64_t operation_ { 0 };
     bool isAdmitted_ { false };
     Duration comeBack_ { 0 }; ///< If refused: when to try again.
+    bool isUnavailable_ { false }; ///< If refused: no owner answered.
     TimePoint expiresAt_; ///< If admitted: until when the token can be given back.
 };
 
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -40,6 +40,9 @@
         { "promotions_total", "Promotions finished by this instance." },
         { "leases_withdrawn_total", "Leases on primaries that this control leader ended." },
         { "leases_expired_total", "Leases on primaries that were not renewed in time." },
+        { "quota_requests_total", "Requests for tokens of quotas sent to other instances." },
+        { "quota_tokens_granted_total", "Tokens of quotas granted to other instances." },
+        { "quota_tokens_lent_total", "Tokens of quotas lent to other data centres." },
     } };
 
     double seconds(Duration duration)
--- a/src/request/AccountQuota.cpp
+++ b/src/request/AccountQuota.cpp
@@ -300,9 +300,11 @@
         actions.sends_.push_back({ to, std::move(message) });
     }
 
-    void decide(const AccountId& account, std::uint64_t operation, Duration comeBack, QuotaActions& actions)
+    void refuse(
+        const AccountId& account, std::uint64_t operation, Duration comeBack, bool isUnavailable, QuotaActions& actions)
     {
-        actions.decisions_.push_back({ account, operation, false, std::max<Duration>(comeBack, 1ms), {} });
+        actions.decisions_.push_back(
+            { account, operation, false, std::max<Duration>(comeBack, 1ms), isUnavailable, {} });
     }
 
     // Owners.
@@ -472,19 +474,21 @@
         dropExpired(cache, now);
         while (!cache.waiting_.empty() && !cache.tokens_.empty()) {
             auto& tokens = cache.tokens_.front();
-            actions.decisions_.push_back({ account, cache.waiting_.front().number_, true, {}, tokens.expiresAt_ });
+            actions.decisions_.push_back(
+                { account, cache.waiting_.front().number_, true, {}, false, tokens.expiresAt_ });
             cache.waiting_.pop_front();
             --tokens.count_;
             dropExpired(cache, now);
         }
     }
 
-    void refuseWaiting(
-        const AccountId& account, QuotaCache& cache, Duration comeBack, TimePoint now, QuotaActions& actions)
+    void refuseWaiting(const AccountId& account, QuotaCache& cache, Duration comeBack, bool isUnavailable,
+        TimePoint now, QuotaActions& actions)
     {
         cache.refusedUntil_ = now + std::clamp(comeBack, minimumRefusal, maximumRefusal);
+        cache.isUnavailable_ = isUnavailable;
         for (const auto& operation : std::exchange(cache.waiting_, {}))
-            decide(account, operation.number_, comeBack, actions);
+            refuse(account, operation.number_, comeBack, isUnavailable, actions);
     }
 
     std::optional<InstanceId> ownerFor(
@@ -515,7 +519,7 @@
             return;
         const auto owner = ownerFor(state, account, cache, now);
         if (!owner)
-            return refuseWaiting(account, cache, ownerlessComeBack, now, actions);
+            return refuseWaiting(account, cache, ownerlessComeBack, true, now, actions);
         for (auto& operation : cache.waiting_)
             operation.isAsked_ = true;
         cache.asked_ = { *owner, ++state.lastNumber_, now };
@@ -546,7 +550,7 @@
         admitWaiting(grant.account_, cache, now, actions);
         const bool isRefused = grant.tokens_ == 0 && !cache.waiting_.empty() && cache.waiting_.front().isAsked_;
         if (isRefused)
-            return refuseWaiting(grant.account_, cache, grant.comeBack_, now, actions);
+            return refuseWaiting(grant.account_, cache, grant.comeBack_, false, now, actions);
         if (!cache.waiting_.empty())
             ask(state, grant.account_, cache, now, actions);
     }
@@ -616,7 +620,7 @@
         std::erase_if(cache.waiting_, [&](const QuotaCache::Operation& operation) {
             if (now < operation.deadline_)
                 return false;
-            decide(account, operation.number_, ownerlessComeBack, actions);
+            refuse(account, operation.number_, ownerlessComeBack, true, actions);
             return true;
         });
         if (!cache.waiting_.empty())
@@ -767,7 +771,7 @@
     countEvents(cache.demandPerSecond_, cache.demandAt_, 1, now);
     dropExpired(cache, now);
     if (cache.tokens_.empty() && now < cache.refusedUntil_)
-        return decide(account, operation, cache.refusedUntil_ - now, actions);
+        return refuse(account, operation, cache.refusedUntil_ - now, cache.isUnavailable_, actions);
     cache.waiting_.push_back({ operation, std::min(deadline, now + tokenWait), false });
     admitWaiting(account, cache, now, actions);
     if (!cache.waiting_.empty())
