--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -45,6 +45,9 @@
     LeasesExpired,
     ConnectionsOpened,
     ConnectionsEvicted,
+    QuotaRequests,
+    QuotaTokensGranted,
+    QuotaTokensLent,
     Count
 };
 
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -42,6 +42,9 @@
         { "leases_expired_total", "Leases on primaries that were not renewed in time." },
         { "endpoint_connections_opened_total", "Connections to endpoints that this instance began to open." },
         { "endpoint_connections_evicted_total", "Idle connections that were closed for one of another account." },
+        { "quota_requests_total", "Requests for tokens of quotas sent to other instances." },
+        { "quota_tokens_granted_total", "Tokens of quotas granted to other instances." },
+        { "quota_tokens_lent_total", "Tokens of quotas lent to other data centres." },
     } };
 
     double seconds(Duration duration)
