--- a/src/process/StatementHolders.cpp
+++ b/src/process/StatementHolders.cpp
@@ -83,7 +83,7 @@
     const auto key = group.value_ + ' ' + account.value_;
     const auto count = static_cast<std::ptrdiff_t>(std::min(holders.holdersPerGroup_, order.size()));
     std::sort(order.begin(), order.begin() + count, [&](const InstanceId& a, const InstanceId& b) {
-        return std::pair(weightOf(a, key), a) > std::pair(weightOf(b, key), b);
+        return std::pair(rendezvousWeight(a, key), a) > std::pair(rendezvousWeight(b, key), b);
     });
     return order;
 }
