--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -59,6 +59,7 @@
         reader.readMilliseconds("heartbeat_ms", settings.heartbeat_, 10, 60000);
         reader.readMilliseconds("shutdown_ms", settings.shutdown_, 100, 600000);
         reader.readCount("maximum_files", settings.maximumFiles_, 64, 10000000);
+        readMemory(reader, settings.memoryMb_);
         reader.refuseUnknownKeys();
         if (settings.statements_.empty() == settings.operators_.empty())
             reader.fail(root, "listen", "needs either statements or operators; set one of them");
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -29,6 +29,7 @@
     std::chrono::milliseconds heartbeat_ { 1200 }; ///< The interval at which endpoints report.
     std::chrono::milliseconds shutdown_ { 6000 }; ///< From the signal to the forced end.
     std::size_t maximumFiles_ { 1024 };
+    std::size_t memoryMb_ { 0 }; ///< MiB of the machine; 0: not known, and nothing is bounded by it.
 };
 
 struct NodeSettingsFile {
--- a/daemon/process/ProcessSettings.cpp
+++ b/daemon/process/ProcessSettings.cpp
@@ -90,6 +90,7 @@
         readControl(reader.map("control"), settings.control_);
         readLimits(reader.map("limits"), settings.limits_);
         readShutdown(reader.map("shutdown"), settings.shutdown_);
+        readMemory(reader, settings.memoryMb_);
         reader.read("log_level", settings.logLevel_, false, "debug, info, warning or error");
         static const std::set<std::string> levels { "debug", "info", "warning", "error" };
         if (!levels.count(settings.logLevel_))
--- a/daemon/process/ProcessSettings.h
+++ b/daemon/process/ProcessSettings.h
@@ -45,6 +45,7 @@
     LimitSettings limits_;
     ShutdownSettings shutdown_;
     std::string logLevel_ { "info" };
+    std::size_t memoryMb_ { 0 }; ///< MiB of the machine; 0: not known, and nothing is bounded by it.
     std::string startTree_; ///< The settings tree used until control answers, as YAML text.
 };
 
--- a/daemon/process/SettingsReader.h
+++ b/daemon/process/SettingsReader.h
@@ -106,4 +106,16 @@
     std::set<std::string> known_;
 };
 
+/// The memory of the machine. Below the least, the process itself leaves no room for clients.
+inline void readMemory(SettingsReader& reader, std::size_t& value)
+{
+    constexpr std::size_t leastMb = 64;
+    constexpr std::size_t greatestMb = 1 << 20;
+    reader.read("memory_mb", value, false, "a number of MiB");
+    if (value != 0 && (value < leastMb || value > greatestMb))
+        reader.fail(reader.child("memory_mb"), "memory_mb",
+            "is out of range; set it to 0 or between " + std::to_string(leastMb) + " and "
+                + std::to_string(greatestMb));
+}
+
 } // namespace cassiahollow
--- a/tests/integration/support/Deployment.cpp
+++ b/tests/integration/support/Deployment.cpp
@@ -74,7 +74,8 @@
                             << "\n  platform: " << ports[i].platform_ << "\n  peers: " << ports[i].peers_
                             << "\npeers: [" << joined(peers) << "]\ndeployment_key: " << options.deploymentKey_
                             << "\noperator_credential: " << operatorCredential
-                            << "\nplatform_credential: " << platformCredential << '\n'
+                            << "\nplatform_credential: " << platformCredential << "\nmemory_mb: " << options.memoryMb_
+                            << '\n'
                             << treeSettings(options.groups_);
         instances_.push_back({ id, ports[i].callers_, ports[i].operators_,
             std::make_unique<ChildProcess>(CASSIAHOLLOW_PROGRAM,
--- a/tests/integration/support/Deployment.h
+++ b/tests/integration/support/Deployment.h
@@ -20,6 +20,7 @@
     bool relays_ { false }; ///< Puts a FaultRelay in front of each database, also for its replicas.
     bool stored_ { true }; ///< Databases keep their state in a synced journal, so that they can be restarted.
     std::chrono::milliseconds leaveDelay_ { 3000 }; ///< Of databases, from SIGTERM to the exit.
+    std::size_t memoryMb_ { 0 }; ///< Of the machine of each instance.
     std::string deploymentKey_ { "integration-deployment-key" };
 };
 
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -117,7 +117,9 @@
                             << node.host_ << ":" << peerPort << "\"}\nseeds: [" << seeds
                             << "]\ndeployment_key: integration-deployment-key\nauthority: \"" << authority_
                             << "\"\nheartbeat_ms: 200\nshutdown_ms: 4000\n"
-                            << (options_.checksFences_ ? "" : "authority_checks_fences: false\n") << more;
+                            << (options_.checksFences_ ? "" : "authority_checks_fences: false\n")
+                            << "memory_mb: " << options_.memoryMb_ << '\n'
+                            << more;
         node.process_ = std::make_unique<ChildProcess>(CASSIAHOLLOW_PROGRAM,
             std::vector<std::string> { "node", "--config=" + file.string() }, folder_.path() / (name + ".log"));
     };
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -44,6 +44,7 @@
         /// Of one database, for all instances. With fewer than there are entry instances, some of them hold the
         /// connections for the others.
         std::size_t connectionLimit_ { 40 };
+        std::size_t memoryMb_ { 0 }; ///< Of the machine of each instance.
     };
 
     NodeDeployment(std::size_t controls, std::size_t entries);
