Bound what clients make a process hold, when memory_mb is set

Cause: each connection held up to one message and whatever was pipelined behind a running statement, answers were kept for clients that do not read, libwebsockets kept what the socket did not take, and nothing bounded the sum.

LineChannel stops reading while a statement runs and more than a few messages are buffered, writes to the socket itself, counts its buffers, and closes clients that pass a time limit. HttpListener counts bodies, stream messages and answers. Statements that do not fit are refused as not run. What is queued between instances is bounded; their connections are never closed for the memory of clients. When the limit is passed, the largest clients are closed.

--- a/daemon/connection/CallerApi.cpp
+++ b/daemon/connection/CallerApi.cpp
@@ -12,6 +12,8 @@
     constexpr std::string_view servicePrefix = "/v1/services/";
     constexpr std::size_t maxKeyCharacters = 128;
     constexpr std::size_t maxStatements = 1000;
+    // Of a request under way, besides its text: its state in the router and in the queue of its endpoint.
+    constexpr std::size_t requestBytes = 4 << 10;
     constexpr std::int64_t maxMilliseconds = 24LL * 3600 * 1000;
 
     int httpStatus(const CallerAnswer& answer)
@@ -210,6 +212,11 @@
         refuse(Reason::ShuttingDown, {});
         return;
     }
+    const auto held = holdMemory(http.body_.size());
+    if (!held) {
+        refuse(Reason::MemoryFull, {});
+        return;
+    }
     CallerRequest request;
     request.service_ = ServiceId(http.path_.substr(servicePrefix.size()));
     const std::string wrong = http.method_ == "POST" ? readRequest(json::parse(http.body_, nullptr, false), request)
@@ -221,7 +228,15 @@
     if (request.session_.empty())
         request.session_ = http.session_;
     router_.handle(
-        std::move(request), [connection](const CallerAnswer& answer) { connection->reply(httpReply(answer)); });
+        std::move(request), [connection, held](const CallerAnswer& answer) { connection->reply(httpReply(answer)); });
+}
+
+// Counts what a request needs until it has its answer; null if there is no room.
+std::shared_ptr<HeldMemory> CallerApi::holdMemory(std::size_t bytes)
+{
+    auto held = std::make_shared<HeldMemory>();
+    auto& memory = context_.loop_.memory();
+    return !memory.isLimited() || held->take(memory, requestBytes + copiesOfStatement * bytes) ? held : nullptr;
 }
 
 void CallerApi::answerStream(const HttpConnectionPtr& connection, const json& id, const CallerAnswer& answer)
@@ -267,10 +282,17 @@
         answerStream(connection, id, refusal(Reason::MalformedRequest, wrong));
         return;
     }
-    receiveStep(connection, stream->second, object);
+    const auto held = holdMemory(message.size());
+    if (!held) {
+        context_.metrics_.count(Reason::MemoryFull);
+        answerStream(connection, id, refusal(Reason::MemoryFull, {}));
+        return;
+    }
+    receiveStep(connection, stream->second, object, held);
 }
 
-void CallerApi::receiveStep(const HttpConnectionPtr& connection, Stream& stream, const json& object)
+void CallerApi::receiveStep(
+    const HttpConnectionPtr& connection, Stream& stream, const json& object, const std::shared_ptr<HeldMemory>& held)
 {
     const json id = object.contains("id") ? object["id"] : json();
     CallerRequest request;
@@ -285,8 +307,8 @@
     }
     const std::uint64_t caller = stream.caller_;
     const AnswerHandler answer
-        = [this, connection, id](const CallerAnswer& result) { answerStream(connection, id, result); };
-    const AnswerHandler lastAnswer = [this, connection, id, caller, transaction](const CallerAnswer& result) {
+        = [this, connection, id, held](const CallerAnswer& result) { answerStream(connection, id, result); };
+    const AnswerHandler lastAnswer = [this, connection, id, caller, transaction, held](const CallerAnswer& result) {
         transactionEnded(caller, transaction);
         answerStream(connection, id, result);
     };
@@ -297,13 +319,13 @@
         router_.handle(std::move(request), answer);
     } else if (operation == "run") {
         router_.runInTransaction(caller, transaction, std::move(request.statements_),
-            [this, connection, id, caller, transaction](const CallerAnswer& result) {
+            [this, connection, id, caller, transaction, held](const CallerAnswer& result) {
                 if (result.reason_ == Reason::TransactionAborted)
                     transactionEnded(caller, transaction);
                 answerStream(connection, id, result);
             });
     } else if (operation == "begin" && !stopping_) {
-        router_.begin(caller, std::move(request), [this, connection, id, caller](const CallerAnswer& result) {
+        router_.begin(caller, std::move(request), [this, connection, id, caller, held](const CallerAnswer& result) {
             if (Stream* owner = findStream(caller); owner && result.outcome_ == Outcome::Done)
                 owner->transactions_.insert(result.key_);
             answerStream(connection, id, result);
--- a/daemon/connection/CallerApi.h
+++ b/daemon/connection/CallerApi.h
@@ -32,7 +32,8 @@
 
     void receiveRequest(const HttpConnectionPtr&, HttpRequest);
     void receiveMessage(const HttpConnectionPtr&, const std::string&);
-    void receiveStep(const HttpConnectionPtr&, Stream&, const nlohmann::json&);
+    std::shared_ptr<HeldMemory> holdMemory(std::size_t bytes);
+    void receiveStep(const HttpConnectionPtr&, Stream&, const nlohmann::json&, const std::shared_ptr<HeldMemory>&);
     void connectionClosed(const HttpConnectionPtr&);
     void answerStream(const HttpConnectionPtr&, const nlohmann::json& id, const CallerAnswer&);
     void transactionEnded(std::uint64_t caller, const std::string& transaction);
--- a/daemon/connection/HttpListener.cpp
+++ b/daemon/connection/HttpListener.cpp
@@ -11,6 +11,12 @@
     constexpr std::size_t maxHeaderBytes = 4096;
     constexpr int replyTimeoutSeconds = 120; // Longer than any request deadline; the deadline answers first.
     constexpr std::size_t writeChunkBytes = 32 * 1024;
+    // Buffers up to this size are part of what is counted for each connection.
+    constexpr std::size_t uncountedBytes = 4 << 10;
+    // Without any progress. A caller waits for its answer.
+    constexpr std::chrono::seconds answerTime { 10 };
+    // The time limits are checked this often.
+    constexpr std::chrono::milliseconds watchInterval { 250 };
 
     std::string headerValue(lws* wsi, lws_token_indexes token)
     {
@@ -68,24 +74,39 @@
 
 void HttpConnection::reply(HttpReply reply)
 {
-    if (!wsi_ || !requestOpen_ || pending_)
+    if (!wsi_ || !requestOpen_ || pending_ || isDropped_)
         return;
     pending_ = std::make_unique<HttpReply>(std::move(reply));
+    moved_ = Clock::now();
+    count();
     lws_callback_on_writable(wsi_);
 }
 
 void HttpConnection::sendText(std::string text)
 {
-    if (!wsi_ || closing_)
+    if (!wsi_ || closing_ || isDropped_)
         return;
+    if (outgoing_.empty())
+        moved_ = Clock::now();
     outgoingBytes_ += text.size();
     outgoing_.push_back(std::move(text));
+    count();
     if (outgoingBytes_ > maxQueuedBytes)
         lws_set_timeout(wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
     else
         lws_callback_on_writable(wsi_);
 }
 
+// Counts what this connection holds. Ordinary requests and answers change nothing.
+void HttpConnection::count()
+{
+    if (!share_.isOpen())
+        return;
+    const auto sum = request_.body_.capacity() + partialMessage_.capacity() + outgoingBytes_ + heldBack_
+        + (pending_ ? pending_->body_.capacity() : 0);
+    share_.set(sum > uncountedBytes ? sum : 0);
+}
+
 void HttpConnection::closeWhenSent()
 {
     if (!wsi_)
@@ -104,8 +125,12 @@
 
 HttpListener::~HttpListener()
 {
-    for (auto& [wsi, connection] : connections_)
+    if (watching_)
+        loop_.cancel(*watching_);
+    for (auto& [wsi, connection] : connections_) {
         connection->wsi_ = nullptr;
+        connection->share_.close();
+    }
     connections_.clear();
     protocol_.owner_ = nullptr;
 }
@@ -128,9 +153,80 @@
     if (!vhost_)
         return boost::leaf::new_error(
             Failure { Reason::SettingsInvalid, "cannot listen on " + options_.address_ + " (" + options_.name_ + ")" });
+    if (loop_.memory().isLimited())
+        watch();
     return {};
 }
 
+int HttpListener::accept(lws* wsi)
+{
+    if (loop_.memory().isLimited())
+        connectionOf(wsi); // Counted from now on, while its headers are awaited.
+    return 0;
+}
+
+// Closes a client that is outside its limits. Only where the owner is not at work.
+void HttpListener::drop(const HttpConnectionPtr& connection, Reason reason)
+{
+    if (!connection->wsi_ || std::exchange(connection->isDropped_, true))
+        return;
+    loop_.memory().report({ reason, options_.name_,
+        connection->request_.body_.capacity() + connection->partialMessage_.capacity() + connection->outgoingBytes_,
+        connection->share_.isStarted() });
+    connection->share_.close();
+    connection->request_ = {};
+    connection->partialMessage_ = {};
+    connection->outgoing_.clear();
+    connection->outgoingBytes_ = 0;
+    connection->pending_.reset();
+    lws_set_timeout(connection->wsi_, PENDING_TIMEOUT_USER_REASON_BASE, LWS_TO_KILL_ASYNC);
+}
+
+// Closes callers that have passed their time limits.
+void HttpListener::watch()
+{
+    const auto now = Clock::now();
+    std::vector<std::pair<HttpConnectionPtr, Reason>> overdue;
+    // A process that was stopped for a while has yet to read what its callers have sent.
+    const bool wasStopped = now - std::exchange(watched_, now) > 4 * watchInterval;
+    for (const auto& [wsi, connection] : connections_) {
+        if (wasStopped)
+            break;
+        if (connection->awaitedSince_ && now - *connection->awaitedSince_ > options_.receiveTimeout_)
+            overdue.emplace_back(connection, Reason::RequestTooSlow);
+        else if ((connection->pending_ || !connection->outgoing_.empty()) && now - connection->moved_ > answerTime)
+            overdue.emplace_back(connection, Reason::AnswersNotRead);
+    }
+    for (const auto& [connection, reason] : overdue)
+        drop(connection, reason);
+    loop_.memory().relieve();
+    watching_ = loop_.schedule(now + watchInterval, [this] { watch(); });
+}
+
+// No owner is at work here, so clients can be closed.
+int HttpListener::finishEvent(const HttpConnectionPtr& connection, int result)
+{
+    if (!connection->share_.isOpen())
+        return connection->isDropped_ ? -1 : result;
+    connection->count();
+    loop_.memory().relieve();
+    return connection->isDropped_ ? -1 : result;
+}
+
+int HttpListener::receiveBody(const HttpConnectionPtr& connection, std::string_view part)
+{
+    if (connection->isDropped_)
+        return -1;
+    auto& body = connection->request_.body_;
+    if (body.size() + part.size() > options_.maxRequestBytes_) {
+        connection->tooLarge_ = true;
+        body = {};
+    }
+    if (!connection->tooLarge_)
+        body.append(part);
+    return 0;
+}
+
 void HttpListener::stopAccepting()
 {
     // Destroying the vhost would close the open connections as well, with the requests on them.
@@ -160,6 +256,11 @@
     if (!connection) {
         connection = HttpConnectionPtr(new HttpConnection);
         connection->wsi_ = wsi;
+        if (loop_.memory().isLimited()) {
+            connection->awaitedSince_ = Clock::now();
+            connection->share_.open(loop_.memory(),
+                [this, raw = connection.get()](Reason reason) { drop(HttpConnectionPtr(raw), reason); });
+        }
     }
     return connection;
 }
@@ -172,6 +273,7 @@
     const HttpConnectionPtr connection = found->second;
     connections_.erase(found);
     connection->wsi_ = nullptr;
+    connection->share_.close();
     if (handlers_.closed_)
         handlers_.closed_(connection);
 }
@@ -186,18 +288,18 @@
             handlers_.count_(Reason::TooManyConnections);
             return -1;
         }
+        if (!mayConnect(loop_.memory().budget())) {
+            loop_.memory().report({ Reason::TooManyConnections, options_.name_ });
+            return -1;
+        }
         return 0;
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+        return accept(wsi);
     case LWS_CALLBACK_HTTP:
         return beginRequest(connectionOf(wsi), in);
     case LWS_CALLBACK_HTTP_BODY: {
         const auto connection = connectionOf(wsi);
-        if (connection->request_.body_.size() + length > options_.maxRequestBytes_) {
-            connection->tooLarge_ = true;
-            connection->request_.body_.clear();
-        }
-        if (!connection->tooLarge_)
-            connection->request_.body_.append(in, length);
-        return 0;
+        return finishEvent(connection, receiveBody(connection, { in, length }));
     }
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
         return finishRequest(connectionOf(wsi));
@@ -208,13 +310,17 @@
     case LWS_CALLBACK_ESTABLISHED: {
         const auto connection = connectionOf(wsi);
         connection->webSocket_ = true;
+        connection->awaitedSince_.reset();
+        connection->share_.start();
         handlers_.streamOpened_(connection);
         return 0;
     }
     case LWS_CALLBACK_RECEIVE:
-        return receiveText(connectionOf(wsi), { in, length });
-    case LWS_CALLBACK_SERVER_WRITEABLE:
-        return writeText(connectionOf(wsi));
+    case LWS_CALLBACK_SERVER_WRITEABLE: {
+        const auto connection = connectionOf(wsi);
+        const bool receives = reason == LWS_CALLBACK_RECEIVE;
+        return finishEvent(connection, receives ? receiveText(connection, { in, length }) : writeText(connection));
+    }
     case LWS_CALLBACK_CLOSED:
     case LWS_CALLBACK_CLOSED_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
@@ -233,6 +339,8 @@
     connection->headersSent_ = false;
     connection->bodySent_ = 0;
     connection->requestOpen_ = true;
+    if (connection->share_.isOpen() && !connection->awaitedSince_)
+        connection->awaitedSince_ = Clock::now();
     HttpRequest& request = connection->request_;
     request.path_ = path;
     request.authorization_ = headerValue(wsi, WSI_TOKEN_HTTP_AUTHORIZATION);
@@ -249,6 +357,10 @@
 
 int HttpListener::finishRequest(const HttpConnectionPtr& connection)
 {
+    if (connection->isDropped_)
+        return -1;
+    connection->awaitedSince_.reset();
+    connection->share_.start();
     lws_set_timeout(connection->wsi_, PENDING_TIMEOUT_HTTP_CONTENT, replyTimeoutSeconds);
     if (connection->tooLarge_) {
         handlers_.count_(Reason::RequestTooLarge);
@@ -297,30 +409,39 @@
     if (written < 0)
         return -1;
     connection->bodySent_ += chunk;
+    connection->moved_ = Clock::now();
     if (!last) {
         lws_callback_on_writable(wsi);
         return 0;
     }
     connection->pending_.reset();
+    connection->count();
     connection->requestOpen_ = false;
     return lws_http_transaction_completed(wsi) ? -1 : 0;
 }
 
 int HttpListener::receiveText(const HttpConnectionPtr& connection, std::string_view part)
 {
+    if (connection->isDropped_)
+        return -1;
     if (connection->partialMessage_.size() + part.size() > options_.maxRequestBytes_) {
         handlers_.count_(Reason::RequestTooLarge);
         return -1;
     }
     connection->partialMessage_.append(part);
-    if (!lws_is_final_fragment(connection->wsi_) || lws_remaining_packet_payload(connection->wsi_) > 0)
+    if (!lws_is_final_fragment(connection->wsi_) || lws_remaining_packet_payload(connection->wsi_) > 0) {
+        if (connection->share_.isOpen() && !connection->awaitedSince_)
+            connection->awaitedSince_ = Clock::now();
         return 0;
+    }
+    connection->awaitedSince_.reset();
     handlers_.streamMessage_(connection, std::exchange(connection->partialMessage_, {}));
     return 0;
 }
 
 int HttpListener::writeText(const HttpConnectionPtr& connection)
 {
+    connection->heldBack_ = 0;
     if (connection->outgoing_.empty())
         return connection->closing_ ? -1 : 0;
     const std::string text = std::move(connection->outgoing_.front());
@@ -331,6 +452,9 @@
             connection->wsi_, reinterpret_cast<unsigned char*>(buffer.data()) + LWS_PRE, text.size(), LWS_WRITE_TEXT)
         < 0)
         return -1;
+    connection->moved_ = Clock::now();
+    if (lws_partial_buffered(connection->wsi_))
+        connection->heldBack_ = text.size();
     if (!connection->outgoing_.empty() || connection->closing_)
         lws_callback_on_writable(connection->wsi_);
     return 0;
--- a/daemon/connection/HttpListener.h
+++ b/daemon/connection/HttpListener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiahollow/process/Reasons.h"
+#include "connection/ClientMemory.h"
 #include "process/EventLoop.h"
 
 #include <boost/leaf.hpp>
@@ -9,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +52,8 @@
 private:
     friend class HttpListener;
 
+    void count();
+
     lws* wsi_ { nullptr };
     bool webSocket_ { false };
     bool closing_ { false };
@@ -62,6 +66,11 @@
     bool headersSent_ { false };
     std::deque<std::string> outgoing_;
     std::size_t outgoingBytes_ { 0 };
+    std::size_t heldBack_ { 0 }; ///< Of the last message, what libwebsockets may hold because the socket is full.
+    bool isDropped_ { false };
+    ClientShare share_;
+    std::optional<TimePoint> awaitedSince_; ///< Since when the headers or the body of a request are awaited.
+    TimePoint moved_; ///< The last time that bytes were sent, or the first ones after all had been sent.
 };
 
 using HttpConnectionPtr = boost::intrusive_ptr<HttpConnection>;
@@ -101,6 +110,11 @@
 
 private:
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
+    int accept(lws*);
+    int receiveBody(const HttpConnectionPtr&, std::string_view);
+    int finishEvent(const HttpConnectionPtr&, int result);
+    void drop(const HttpConnectionPtr&, Reason);
+    void watch();
     int handle(lws*, lws_callback_reasons, const char* in, std::size_t length);
     int beginRequest(const HttpConnectionPtr&, const char* path);
     int finishRequest(const HttpConnectionPtr&);
@@ -118,6 +132,8 @@
     std::string host_;
     bool stopped_ { false };
     std::unordered_map<lws*, HttpConnectionPtr> connections_;
+    std::optional<EventLoop::TimerId> watching_;
+    TimePoint watched_;
 };
 
 /// Splits "ip:port". Errors: Reason::SettingsInvalid.
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -2,13 +2,16 @@
 
 #include "cassiahollow/process/Reasons.h"
 #include "connection/ClientConnection.h"
+#include "connection/ClientMemory.h"
 #include "process/EventLoop.h"
 
+#include <boost/intrusive/list.hpp>
 #include <boost/leaf.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <functional>
 #include <libwebsockets.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,7 +28,8 @@
 
 /// One TCP connection of the line protocol, in either direction. Alive as long as somebody holds a pointer or the
 /// socket is open.
-class LineChannel : public boost::intrusive_ref_counter<LineChannel, boost::thread_unsafe_counter> {
+class LineChannel : public boost::intrusive_ref_counter<LineChannel, boost::thread_unsafe_counter>,
+                    public boost::intrusive::list_base_hook<> {
 public:
     ~LineChannel() = default;
 
@@ -39,9 +43,17 @@
 
     /// Offers again what the owner has not taken. Has no effect within received_, which goes on by itself.
     void offer();
+    /// Tells whether the owner takes bytes now. While it does not, no more are read than a few messages.
+    void setTaking(bool isTaking) { isTaking_ = isTaking; }
+    /// Few enough answers wait to be sent that the owner may go on with the next message.
+    bool hasRoom() const;
+    /// The client has opened its session; it has only a limited time for it.
+    void setStarted() { share_.start(); }
+    /// The other end has proved that it is an instance; it is never closed to make room.
+    void setTrusted();
 
     bool isOpen() const { return open_; }
-    std::size_t queuedBytes() const { return outgoing_.size(); }
+    std::size_t queuedBytes() const { return outgoing_.size() - sent_; }
 
 private:
     friend class LineSockets;
@@ -49,12 +61,18 @@
 
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
     int handle(lws_callback_reasons, const char* in, std::size_t length);
+    int finishEvent(int result);
     int receive(std::string_view);
     int write();
     int opened();
     void openedLate();
     void setSocketTimeouts();
     void ended();
+    void dropBytes();
+    void count();
+    void updateReading();
+    void drop(Reason);
+    std::optional<Reason> overdue(TimePoint now) const;
 
     ClientConnection connection_; ///< Of a channel in either direction.
     bool open_ { false };
@@ -62,8 +80,21 @@
     bool abandoned_ { false };
     bool closing_ { false };
     bool offering_ { false }; ///< The owner is looking at bytes now.
-    std::string incoming_; ///< Bytes that the owner has not taken yet.
-    std::string outgoing_;
+    bool isTaking_ { true };
+    bool isReading_ { true };
+    bool isDropped_ { false };
+    bool isCounted_ { false }; ///< More than the least is counted for it.
+    std::string incoming_; ///< Bytes that the owner has not taken yet, from taken_ on.
+    std::size_t taken_ { 0 };
+    std::string outgoing_; ///< Bytes that the socket has not taken yet, from sent_ on.
+    std::size_t sent_ { 0 };
+    ClientMemory* memory_ { nullptr }; ///< Null when nothing is limited.
+    ClientShare share_; ///< Of a client.
+    HeldMemory held_; ///< Of a connection of the instance itself.
+    std::string_view listener_; ///< For the log; empty if this instance has opened the connection.
+    TimePoint opened_;
+    TimePoint arrived_; ///< The last bytes of a message that is not whole.
+    TimePoint moved_; ///< The last time that the socket took bytes, or the first bytes after it had taken all.
     std::chrono::milliseconds silence_ { 0 };
     LineChannelHandlers handlers_;
 };
@@ -94,9 +125,10 @@
 public:
     using Accept = std::function<void(const LineChannelPtr&)>;
 
-    /// `accept` has to set the channel's handlers.
-    LineListener(EventLoop&, std::string address, std::size_t maxConnections, Accept);
-    ~LineListener() { protocol_.owner_ = nullptr; }
+    /// `accept` has to set the channel's handlers. The name is for the log.
+    LineListener(
+        EventLoop&, std::string address, std::size_t maxConnections, Accept, std::string_view name = "statements");
+    ~LineListener();
     LineListener(const LineListener&) = delete;
     LineListener& operator=(const LineListener&) = delete;
 
@@ -106,11 +138,17 @@
 
 private:
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
+    int adopt(lws*);
+    void watch();
 
     EventLoop& loop_;
     const std::string address_;
     const std::size_t maxConnections_;
     const Accept accept_;
+    const std::string_view name_;
+    boost::intrusive::list<LineChannel> channels_;
+    std::optional<EventLoop::TimerId> watching_;
+    TimePoint watched_;
     std::string host_;
     const std::string vhostName_;
     std::size_t openConnections_ { 0 };
--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -103,6 +103,8 @@
     , sampler_(loop_, metrics_, registry_, settings_.name_, leases_ ? &leases_->view() : nullptr)
 {
     loop_.setWakeHandler([this] { receiveAll(); });
+    loop_.memory().configure(settings_.memoryMb_ << 20,
+        [this](const ClientMemory::Event& event) { reportClosedClient(metrics_, loop_.memory(), event); });
 }
 
 ControlHost::~ControlHost()
@@ -486,6 +488,7 @@
 void ControlHost::replyMetrics(const HttpConnectionPtr& connection)
 {
     metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    setMemoryGauges(metrics_, loop_.memory());
     metrics_.setGauge("applied_catalog_version", document_ ? static_cast<double>(document_->version_) : 0);
     metrics_.setGauge("control_leads", status_.role_ == ControlRole::Leader ? 1 : 0);
     metrics_.setGauge("control_leader_known", status_.leader_.empty() ? 0 : 1);
--- a/daemon/process/EventLog.cpp
+++ b/daemon/process/EventLog.cpp
@@ -35,6 +35,7 @@
         { "refusal", 10 },
         { "uncertain", 10 },
         { "promotion", 50 },
+        { "client", 5 },
     } };
 
     struct Budget {
--- a/daemon/process/EventLog.h
+++ b/daemon/process/EventLog.h
@@ -17,6 +17,7 @@
     Refusal, ///< A statement is answered as not run.
     Uncertain, ///< A statement may have run.
     Promotion, ///< A step of a change of primary.
+    Client, ///< A client is closed because it is outside the limits of the process.
     Count
 };
 
--- a/daemon/process/EventLoop.h
+++ b/daemon/process/EventLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiahollow/process/Types.h"
+#include "connection/ClientMemory.h"
 
 #include <deque>
 #include <functional>
@@ -32,6 +33,9 @@
     /// The owner of the protocol of a socket, or null when it has gone.
     static void* ownerOf(lws*);
 
+    /// What the clients of this process may hold.
+    ClientMemory& memory() { return memory_; }
+
     lws_context* context() const { return context_; }
 
     /// Calls back once at a time. The callback may schedule again.
@@ -57,6 +61,7 @@
     void runDueTimers();
     void armAlarm();
 
+    ClientMemory memory_; // Connections are counted in it until the context is gone.
     std::deque<ProtocolSlot> protocols_;
     lws_context* context_ { nullptr };
     std::map<TimerId, Callback> timers_;
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -69,6 +69,8 @@
     selection_.next_ = std::hash<std::string>()(settings_.peers_);
     selection_.seeds_ = seedInstances(settings_);
     loop_.setWakeHandler([this] { receiveAll(); });
+    loop_.memory().configure(settings_.memoryMb_ << 20,
+        [this](const ClientMemory::Event& event) { reportClosedClient(metrics_, loop_.memory(), event); });
     gateway_.setReportHandler([this] { reportSoon(); });
 }
 
@@ -92,8 +94,9 @@
     }
     BOOST_LEAF_CHECK(clients_.start());
     if (!settings_.forward_.empty()) {
-        forwards_ = std::make_unique<LineListener>(loop_, settings_.forward_, maximumPeers,
-            [this](const LineChannelPtr& channel) { gateway_.acceptPeer(channel); });
+        forwards_ = std::make_unique<LineListener>(
+            loop_, settings_.forward_, maximumPeers,
+            [this](const LineChannelPtr& channel) { gateway_.acceptPeer(channel); }, "forward");
         BOOST_LEAF_CHECK(forwards_->start());
     }
     ask();
@@ -215,6 +218,7 @@
 {
     const auto sinceConfirmed = std::chrono::duration<double>(suspendAwareNow() - confirmed_).count();
     metrics_.setGauge("log_lines_dropped", static_cast<double>(droppedLogLines()));
+    setMemoryGauges(metrics_, loop_.memory());
     metrics_.setGauge("applied_catalog_version", static_cast<double>(gateway_.catalogVersion()));
     metrics_.setGauge("control_confirmed_age_seconds", selection_.isConfirmed_ ? sinceConfirmed : -1);
     metrics_.setGauge("client_sessions", static_cast<double>(gateway_.sessions()));
--- a/daemon/process/ServeTask.cpp
+++ b/daemon/process/ServeTask.cpp
@@ -17,6 +17,8 @@
     // Repeats of a message follow it closely; this many requests of one instance arrive within about a second.
     constexpr std::size_t recentRequestsKept = 4096;
     constexpr std::chrono::milliseconds drainPoll { 20 };
+    // Many clients are closed at once; the counters have them all.
+    constexpr std::chrono::seconds clientLogInterval { 1 };
     // How long an instance without control members in reach waits for peers before it reports ready.
     constexpr std::chrono::seconds readyWithoutPeers { 5 };
 
@@ -98,6 +100,8 @@
               [this]() -> const ControlStatus& { return controlStatus_; } })
 {
     loop_.setWakeHandler([this] { takeMessages(); });
+    loop_.memory().configure(
+        settings_.memoryMb_ << 20, [this](const ClientMemory::Event& event) { reportClient(event); });
 }
 
 ServeTask::~ServeTask()
@@ -365,9 +369,24 @@
     metrics_.setGauge("held_endpoints", static_cast<double>(held_.size()));
     metrics_.setGauge("watched_groups", static_cast<double>(watched_.size()));
     metrics_.setGauge("open_requests", static_cast<double>(router_.openRequests()));
+    setMemoryGauges(metrics_, loop_.memory());
     loop_.schedule(Clock::now() + housekeepInterval, [this] { housekeep(); });
 }
 
+void ServeTask::reportClient(const ClientMemory::Event& event)
+{
+    metrics_.count(event.reason_);
+    const auto now = Clock::now();
+    if (now - clientLogged_ < clientLogInterval)
+        return;
+    clientLogged_ = now;
+    const auto& budget = loop_.memory().budget();
+    logWarning("client at " + std::string(event.listener_) + " closed for "
+        + std::string(reasonInfo(event.reason_).name_) + " with " + std::to_string(event.bytes_) + " bytes; used "
+        + std::to_string(budget.used_) + " of " + std::to_string(budget.limits_.total_) + ", "
+        + std::to_string(budget.clients_) + " of them by " + std::to_string(budget.connections_) + " clients");
+}
+
 // Shutdown.
 
 void ServeTask::beginShutdown()
--- a/daemon/process/ServeTask.h
+++ b/daemon/process/ServeTask.h
@@ -98,6 +98,7 @@
     void replaceLeavingPrimaries();
     void housekeep();
 
+    void reportClient(const ClientMemory::Event&);
     void beginShutdown();
     void stopAccepting();
     bool isDrained() const;
@@ -140,6 +141,7 @@
     bool refreshScheduled_ { false };
     bool shuttingDown_ { false };
     bool ready_ { false };
+    TimePoint clientLogged_; ///< The last line about a closed client.
     int exitStatus_ { 0 };
 };
 
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -21,6 +21,8 @@
     // Instances that start together know each other after two exchanges between control members. Until then, they open
     // only the connections that statements wait for: each takes itself for one of few.
     constexpr auto settleTime = 2500ms;
+    // Statements that wait for a holder to read them. Above, further ones are refused.
+    constexpr std::size_t maximumAheadBytes = 8 << 20;
     // Attempts of one statement at holders.
     constexpr int maximumForwards = 4;
     // Time between two questions to a holder whether it reaches the primaries, while this instance may be cut off.
@@ -166,7 +168,10 @@
     const auto holder = holderFor(groupOf(job->group_), *job);
     if (!holder)
         return false;
-    sendForward(holder, job, 0);
+    if (loop_.memory().isLimited() && holder->channel_ && holder->channel_->queuedBytes() > maximumAheadBytes)
+        refuseJob(job, Reason::MemoryFull);
+    else
+        sendForward(holder, job, 0);
     return true;
 }
 
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -9,6 +9,8 @@
 
     // Operations of one peer at once; far more than its clients have.
     constexpr std::size_t maximumOperations = 10000;
+    // Replies that wait for a peer to read them. Above, its further operations are refused.
+    constexpr std::size_t maximumReplyBytes = 8 << 20;
 
 } // namespace
 
@@ -36,6 +38,7 @@
                 if (peer->instance_.empty()) {
                     BOOST_LEAF_AUTO(hello, decodePeerMessage(*frame, options_.deploymentKey_));
                     peer->instance_ = hello.sender_.value_.empty() ? "unnamed" : hello.sender_.value_;
+                    peer->channel_->setTrusted();
                     continue;
                 }
                 BOOST_LEAF_AUTO(message, decodeHolderMessage(*frame));
@@ -77,6 +80,11 @@
         metrics_.count(Reason::QueueFull);
         return refusePeer(peer, request.number_, StatementError::Overloaded, "not run, too many operations");
     }
+    // Refused before it is begun: nothing of it is kept.
+    if (!isKnown && loop_.memory().isLimited() && peer->channel_->queuedBytes() > maximumReplyBytes) {
+        metrics_.count(Reason::MemoryFull);
+        return refusePeer(peer, request.number_, StatementError::Overloaded, "not run, the peer reads too slowly");
+    }
     const auto session = isKnown ? known->second : beginOperation(peer, request);
     runForPeer(session, std::move(request));
 }
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -85,6 +85,7 @@
     EventLoop::TimerId timer_; ///< The statement's time limit.
     AdmissionItem item_;
     AdmissionQueue* queue_ { nullptr }; ///< Where the item waits or runs.
+    HeldMemory memory_;
 };
 
 struct StatementGateway::Endpoint {
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -10,6 +10,10 @@
 
     using namespace std::chrono_literals;
 
+    // A statement of a client that is not counted apart.
+    constexpr std::size_t smallStatementBytes = 4 << 10;
+    // An operation of another instance's client, besides its text.
+    constexpr std::size_t operationBytes = 4 << 10;
     // Reads keep the newest sample this young, so that each has an old enough floor to choose from.
     constexpr auto sampleInterval = 250ms;
     // The instance that serves the client ends a statement at the route's time limit; a reply has to arrive before.
@@ -25,6 +29,24 @@
     return mayWrite || job.route_->consistency_ == Consistency::Primary;
 }
 
+// Counts what a statement needs until it has its answer; false if there is no room. Small statements of this instance's
+// clients, one for each, are part of what is counted for their connections.
+bool StatementGateway::holdMemory(Job& job)
+{
+    auto& memory = loop_.memory();
+    if (!memory.isLimited())
+        return true;
+    const bool isOwn = !job.session_->peer_;
+    if (isOwn && job.text_.size() <= smallStatementBytes)
+        return true;
+    const auto bytes = (isOwn ? 0 : operationBytes) + copiesOfStatement * job.text_.size();
+    // A commit decides about what has run already.
+    if (job.kind_ != StatementKind::Commit)
+        return job.memory_.take(memory, bytes);
+    job.memory_.set(memory, bytes);
+    return true;
+}
+
 void StatementGateway::submit(const JobPtr& job)
 {
     const auto& session = job->session_;
@@ -35,6 +57,8 @@
     const auto left = job->arrived_ + job->route_->statementTimeout_ - suspendAwareNow();
     job->timer_
         = loop_.schedule(Clock::now() + left - (session->peer_ ? replyMargin : 0ms), [this, job] { timedOut(job); });
+    if (!holdMemory(*job))
+        return refuseJob(job, Reason::MemoryFull);
     if (session->sql_.transaction_ != TransactionState::Open)
         return enqueueJob(job);
     if (session->remote_)
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -61,7 +61,7 @@
 std::size_t StatementGateway::receive(const SessionPtr& session, std::string_view bytes)
 {
     std::size_t taken = 0;
-    while (!session->busy_ && !session->closed_) {
+    while (!session->busy_ && !session->closed_ && session->channel_->hasRoom()) {
         const auto line = session->reader_.take(bytes, taken);
         if (!line)
             break;
@@ -89,6 +89,7 @@
         session->channel_->close();
         sessionClosed(session);
     }
+    session->channel_->setTaking(!session->busy_ && session->channel_->hasRoom());
     return taken;
 }
 
@@ -97,6 +98,7 @@
     if (!catalog_ && !session->started_) {
         // The session is not known to be wrong; it begins once the catalog has come.
         session->heldStart_ = start;
+        session->channel_->setStarted();
         session->busy_ = true;
         return;
     }
@@ -111,6 +113,7 @@
         return;
     }
     session->started_ = true;
+    session->channel_->setStarted();
     session->sql_.database_ = start.database_;
     session->channel_->send(platform::encodeReady(SessionMark::Idle, {}));
 }
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -118,6 +118,7 @@
 
     // Statements.
     static bool needsPrimary(const Job&);
+    bool holdMemory(Job&);
     static bool mayKeep(const Job&);
     void submit(const JobPtr&);
     void enqueueJob(const JobPtr&);
--- a/include/cassiahollow/process/Reasons.h
+++ b/include/cassiahollow/process/Reasons.h
@@ -68,6 +68,10 @@
     EndpointSilent,
     StorageFailed,
     StorageDamaged,
+    // Clients outside the limits of the process.
+    MemoryFull,
+    StartTooSlow,
+    AnswersNotRead,
     Count
 };
 
--- a/src/process/Reasons.cpp
+++ b/src/process/Reasons.cpp
@@ -91,6 +91,10 @@
             "check space, permissions and health of the disk, and that no other process uses the data folder" },
         { Reason::StorageDamaged, "storage_damaged", Outcome::NotRun,
             "move the data folder away and start again; the member is admitted again under a new identity" },
+        { Reason::MemoryFull, "memory_full", Outcome::NotRun,
+            "retry later; on call, look at client_closed in the log for who fills the memory" },
+        { Reason::StartTooSlow, "start_too_slow", Outcome::NotRun, "open the session as soon as it is connected" },
+        { Reason::AnswersNotRead, "answers_not_read", Outcome::NotRun, "read the answers" },
     } };
 
     constexpr bool isInOrder()
