--- a/tests/NodeSettingsTest.cpp
+++ b/tests/NodeSettingsTest.cpp
@@ -55,6 +55,9 @@
     CHECK(load("instance: [").errors_.size() == 1);
     CHECK_FALSE(load(entry + "speed: fast\n").errors_.empty());
     CHECK_FALSE(load(entry + "heartbeat_ms: 0\n").errors_.empty());
+    CHECK_FALSE(load(entry + "memory_mb: 63\n").errors_.empty());
+    CHECK(load(entry + "memory_mb: 112\n").settings_.memoryMb_ == 112);
+    CHECK(load(entry).settings_.memoryMb_ == 0);
     const auto control = load(R"(instance: core-1
 data_centre: a
 listen: {operators: "10.0.0.1:80", peers: "10.0.0.1"}
--- a/tests/integration/HostileClientsTest.cpp
+++ b/tests/integration/HostileClientsTest.cpp
@@ -31,9 +31,9 @@
 
 const std::string startLine = "STARTUP receipts key\r\n";
 
-std::string writeLine(std::size_t bytes)
+std::string writeLine(std::size_t bytes, const std::string& id = "00000000000000aa")
 {
-    return "QUERY 00000000000000aa WRITE item " + std::string(bytes, 'x') + "\r\n";
+    return "QUERY " + id + " WRITE item " + std::string(bytes, 'x') + "\r\n";
 }
 
 void checkProcess(ChildProcess& process, pid_t id, const char* kind)
@@ -47,8 +47,8 @@
 }
 
 struct NodeRig {
-    explicit NodeRig(std::size_t entries = 1, std::size_t connectionLimit = 40)
-        : deployment_(1, entries, { .connectionLimit_ = connectionLimit, .memoryMb_ = memoryMb })
+    explicit NodeRig(std::size_t entries = 1, std::size_t connectionLimit = 40, std::size_t machineMb = memoryMb)
+        : deployment_(1, entries, { .connectionLimit_ = connectionLimit, .memoryMb_ = machineMb })
     {
         REQUIRE(deployment_.configure(1, { "receipts" }, 10s));
         REQUIRE(deployment_.waitUntilReady(10s));
@@ -238,3 +238,42 @@
     clients.send(header + std::string(legalBytes, ' '));
     rig.check("callers-streams");
 }
+
+// Guards against limits that a single legal message meets on the smallest machine.
+TEST_CASE("a message of 1 MiB is served, whole and byte by byte", "[calm]")
+{
+    constexpr std::size_t longestMessage = 1 << 20;
+    constexpr std::size_t smallestMachineMb = 112;
+    NodeRig rig(1, 40, smallestMachineMb);
+    for (const std::size_t pieceBytes : { longestMessage + 2, std::size_t(1) }) {
+        CAPTURE(pieceBytes);
+        // An endpoint that signs one id twice on a connection is taken for one that repeats an answer.
+        const auto bytes = writeLine(
+            longestMessage - writeLine(0).size() + 2, pieceBytes == 1 ? "00000000000000ab" : "00000000000000aa");
+        REQUIRE(bytes.size() == longestMessage + 2);
+        LineClient client(rig.address());
+        REQUIRE(client.start("receipts").mark_ == 'I');
+        for (std::size_t sent = 0; sent < bytes.size(); sent += pieceBytes)
+            client.send(bytes.substr(sent, pieceBytes));
+        const auto answer = client.receive(30s);
+        INFO(answer.error_);
+        CHECK(answer.error_.empty());
+        CHECK_FALSE(answer.signature_.empty());
+    }
+    rig.check("calm");
+}
+
+// Guards against clients that are closed and of whom nobody can tell who they were.
+TEST_CASE("clients that are closed are in the log and in the metrics", "[named]")
+{
+    NodeRig rig;
+    HostileClients clients(rig.address(), clientCount);
+    clients.send(startLine + writeLine(legalBytes).substr(0, legalBytes));
+    rig.check("named");
+    const auto output = rig.deployment_.entries()[0].process_->output();
+    const auto at = output.find("kind=client event=client_closed");
+    REQUIRE(at != std::string::npos);
+    const auto line = output.substr(at, output.find('\n', at) - at);
+    std::printf("  %s\n", line.c_str());
+    CHECK(line.find("cause=memory_full listener=statements session=open") != std::string::npos);
+}
