--- a/daemon/process/NodeSettings.cpp
+++ b/daemon/process/NodeSettings.cpp
@@ -102,6 +102,7 @@
         readDataCentres(reader, settings);
         readQuota(reader.map("quota"), settings);
         readAccounts(reader.map("accounts"), settings);
+        readMemory(reader, settings.memoryMb_);
         reader.refuseUnknownKeys();
         if (settings.statements_.empty() == settings.operators_.empty())
             reader.fail(root, "listen", "needs either statements or operators; set one of them");
--- a/daemon/process/NodeSettings.h
+++ b/daemon/process/NodeSettings.h
@@ -35,6 +35,7 @@
     double quotaSlack_ { 20 }; ///< Operations by which a window may exceed the quota and its overage.
     bool failClosed_ { false }; ///< Without contact to control members, refuse what needs a key.
     std::chrono::milliseconds revokeTime_ { 5000 }; ///< How old the last contact may be then.
+    std::size_t memoryMb_ { 0 }; ///< MiB of the machine; 0: not known, and nothing is bounded by it.
 };
 
 struct NodeSettingsFile {
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -63,7 +63,7 @@
 std::size_t StatementGateway::receive(const SessionPtr& session, std::string_view bytes)
 {
     std::size_t taken = 0;
-    while (!session->busy_ && !session->closed_) {
+    while (!session->busy_ && !session->closed_ && session->channel_->hasRoom()) {
         const auto line = session->reader_.take(bytes, taken);
         if (!line)
             break;
@@ -91,6 +91,7 @@
         session->channel_->close();
         sessionClosed(session);
     }
+    session->channel_->setTaking(!session->busy_ && session->channel_->hasRoom());
     return taken;
 }
 
@@ -104,6 +105,7 @@
         return begin(session, start.database_);
     // The session is not known to be wrong; it begins once the catalog has come.
     session->heldDatabase_ = std::move(start.database_);
+    session->channel_->setStarted();
     session->busy_ = true;
 }
 
@@ -123,6 +125,7 @@
         return refuseKey(session, database);
     session->account_ = *account;
     session->started_ = true;
+    session->channel_->setStarted();
     session->sql_.database_ = database;
     session->channel_->send(platform::encodeReady(SessionMark::Idle, {}));
 }
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -48,6 +48,7 @@
         std::size_t connectionLimit_ { 40 };
         /// Names and keys of client accounts; nothing for a configuration without accounts.
         std::optional<std::map<std::string, std::vector<std::string>>> accounts_ {};
+        std::size_t memoryMb_ { 0 }; ///< Of the machine of each instance.
     };
 
     NodeDeployment(std::size_t controls, std::size_t entries);
