Ask once per decision which service may start

An answer of mayStart depends on the time: an own connection that is expected soon makes a statement wait. The queue asked when it chose the class and again when it took the item, and took a service that it had not found when the answer had changed.

--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -87,6 +87,7 @@
         AdmissionItems transactionItems_; ///< Statements of transactions; served before the others of the class.
         std::map<ServiceId, ServiceQueue> services_;
         ActiveServices activeServices_; ///< Services with waiting items, in round-robin order.
+        ServiceQueue* startable_ { nullptr }; ///< The service whose item may start; valid within next().
     };
 
     using ActiveClasses = boost::intrusive::list<ClassQueue,
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -80,10 +80,10 @@
         return found == classQueue.activeServices_.end() ? nullptr : &*found;
     }
 
-    bool isEligible(const AdmissionQueue& queue, ClassQueue& classQueue, const FreeConnections& free)
+    bool isEligible(const AdmissionQueue& queue, const ClassQueue& classQueue)
     {
         return (classQueue.settings_.urgent_ || mayStartNotUrgent(queue))
-            && (!classQueue.transactionItems_.empty() || chooseService(classQueue, free));
+            && (!classQueue.transactionItems_.empty() || classQueue.startable_);
     }
 
     // Deficit round robin. The quantum is always the smallest that lets one class start an item, so that classes
@@ -92,7 +92,9 @@
     {
         double round = std::numeric_limits<double>::infinity();
         for (auto& classQueue : queue.activeClasses_) {
-            if (isEligible(queue, classQueue, free))
+            // Asked once, because the answer may depend on the time.
+            classQueue.startable_ = chooseService(classQueue, free);
+            if (isEligible(queue, classQueue))
                 round = std::min(
                     round, std::max(0.0, classQueue.serviceTime_ - classQueue.deficit_) / classQueue.settings_.weight_);
         }
@@ -100,7 +102,7 @@
             return nullptr;
         ClassQueue* chosen = nullptr;
         for (auto& classQueue : queue.activeClasses_) {
-            if (!isEligible(queue, classQueue, free))
+            if (!isEligible(queue, classQueue))
                 continue;
             classQueue.deficit_ += round * classQueue.settings_.weight_;
             // The tolerance covers the rounding error of the division by the weight.
@@ -117,14 +119,14 @@
 
     // Removes and returns the next item of the class. Statements of transactions go first, because they hold a
     // connection; then the services in round-robin order.
-    AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue, const FreeConnections& free)
+    AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue)
     {
         if (!classQueue.transactionItems_.empty()) {
             auto& item = classQueue.transactionItems_.front();
             unlink(queue, item);
             return item;
         }
-        auto& service = *chooseService(classQueue, free);
+        auto& service = *classQueue.startable_;
         auto& item = service.items_.front();
         classQueue.activeServices_.splice(classQueue.activeServices_.end(), classQueue.activeServices_,
             classQueue.activeServices_.iterator_to(service));
@@ -223,7 +225,7 @@
             break;
         // Read before takeItem() can remove the last item of the class.
         const auto urgent = classQueue->settings_.urgent_;
-        auto& item = takeItem(queue, *classQueue, free);
+        auto& item = takeItem(queue, *classQueue);
         if (!item.ownsConnection_)
             --free.count_;
         item.state_ = State::Running;
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -217,6 +217,19 @@
     CHECK(next(bench.queue_, start, 4).start_.size() == 2);
 }
 
+// Guards against a queue that chooses by one answer and takes by another: an own connection that is expected soon makes
+// the answer change with the time.
+TEST_CASE("an answer that changes while the queue decides does not matter")
+{
+    Bench bench(settingsOf(4));
+    bench.add("c", "a");
+    bench.add("d", "b");
+    int asked = 0;
+    const auto once = [&](const AdmissionItem& item) { return item.service_ == ServiceId("a") && asked++ == 0; };
+    CHECK(next(bench.queue_, start, 4, once).start_.size() == 1);
+    CHECK(bench.queue_.waiting_ == 1);
+}
+
 namespace {
 
 // Statements of many accounts in front of six slots, as simulated time passes. The first account sends `factor` times
