Make room below a lowered limit of connections

An instance that becomes a holder may have more connections to an endpoint than its new share. Statements of accounts without a connection then waited until the surplus had rested for 60 s, because one connection was replaced by one. Idle connections of other accounts are closed now until there is room, if they suffice.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -409,17 +409,19 @@
 // the place of one that rests is freed before.
 EndpointLinkPtr StatementGateway::linkFor(Endpoint& endpoint, const Job& job)
 {
-    const auto choice = chooseLink(endpoint, job, 0);
-    if (!mayStart(choice))
-        return nullptr;
-    if (choice.action_ == ConnectionAction::Use)
-        return endpoint.links_[choice.index_];
-    if (choice.action_ == ConnectionAction::Replace) {
+    auto choice = chooseLink(endpoint, job, 0);
+    // Each of them closes one connection, so this ends.
+    while (choice.action_ == ConnectionAction::Replace) {
         const auto evicted = endpoint.links_[choice.index_];
         metrics_.add(CounterId::ConnectionsEvicted);
         evicted->closeAtOnce();
         std::erase(endpoint.links_, evicted);
+        choice = chooseLink(endpoint, job, 0);
     }
+    if (!mayStart(choice))
+        return nullptr;
+    if (choice.action_ == ConnectionAction::Use)
+        return endpoint.links_[choice.index_];
     return createLink(endpoint, job.session_->account_);
 }
 
--- a/include/cassiahollow/connection/AccountConnections.h
+++ b/include/cassiahollow/connection/AccountConnections.h
@@ -45,7 +45,7 @@
 enum class ConnectionAction : std::uint8_t {
     Use, ///< The connection at index_.
     Open,
-    Replace, ///< Close the connection at index_, and open one.
+    Replace, ///< Close the connection at index_. Ask again while the limit is not undercut, then open one.
     WaitForOwn, ///< One of the account's own is expected to be free before a new one would be open.
     Wait, ///< All are busy, or new connections have to pause.
 };
--- a/src/connection/AccountConnections.cpp
+++ b/src/connection/AccountConnections.cpp
@@ -72,9 +72,10 @@
         [](const AccountConnection& connection) { return connection.state_ != State::Closed; }));
     if (open < demand.limit_)
         return { ConnectionAction::Open, 0 };
-    // Above the limit, because it was lowered, one is closed for each one that is opened; idle ones are closed over
-    // time.
-    if (const auto other = longestIdle(connections); other && open == demand.limit_)
+    // Above the limit, because it was lowered, several have to make room for one.
+    const auto idle = static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(),
+        [](const AccountConnection& connection) { return connection.state_ == State::Idle; }));
+    if (const auto other = longestIdle(connections); other && demand.limit_ > 0 && idle > open - demand.limit_)
         return { ConnectionAction::Replace, *other };
     return { ConnectionAction::Wait, 0 };
 }
