--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -234,7 +234,7 @@
     metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
     const auto quotas = gateway_.quotaCounts();
     metrics_.setGauge("quota_ledgers", static_cast<double>(quotas.owned_));
-    metrics_.setGauge("quota_standin_ledgers", static_cast<double>(quotas.standIns_));
+    metrics_.setGauge("quota_fallback_ledgers", static_cast<double>(quotas.fallbacks_));
     metrics_.setGauge("quota_waiting_operations", static_cast<double>(quotas.waiting_));
     connection->reply({ 200, metrics_.render(), "text/plain" });
 }
--- a/daemon/request/GatewayQuotas.cpp
+++ b/daemon/request/GatewayQuotas.cpp
@@ -87,7 +87,7 @@
 {
     QuotaCounts counts;
     for (const auto& [account, ledger] : quotas_.ledgers_)
-        ++(ledger.isOwner_ ? counts.owned_ : counts.standIns_);
+        ++(ledger.isOwner_ ? counts.owned_ : counts.fallbacks_);
     counts.waiting_ = awaitToken_.size();
     return counts;
 }
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -64,7 +64,7 @@
     bool hasQuotas() const { return !quotas_.limits_.empty(); }
     struct QuotaCounts {
         std::size_t owned_ { 0 }; ///< Ledgers of accounts.
-        std::size_t standIns_ { 0 }; ///< Ledgers for owners that do not answer.
+        std::size_t fallbacks_ { 0 }; ///< Ledgers for owners that do not answer.
         std::size_t waiting_ { 0 }; ///< Operations without a token yet.
     };
     QuotaCounts quotaCounts() const;
--- a/include/cassiahollow/request/AccountQuota.h
+++ b/include/cassiahollow/request/AccountQuota.h
@@ -6,7 +6,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -120,14 +119,14 @@
         TimePoint askedAt_;
     };
 
-    bool isOwner_ { false }; ///< By the own list of instances; otherwise this instance stands in for the owner.
+    bool isOwner_ { false }; ///< By the own list of instances; otherwise this instance is a fallback owner.
     double balance_ { 0 };
     TimePoint updatedAt_; ///< Tokens are earned up to this time.
     TimePoint fullFrom_; ///< A part of the rate is earned before.
     SpentTokens spent_;
     double usePerSecond_ { 0 }; ///< Tokens granted lately.
     TimePoint usedAt_;
-    std::deque<Waiting> waiting_;
+    std::vector<Waiting> waiting_;
     std::optional<PendingLoan> loan_;
     std::map<DataCentre, TimePoint> lenderPause_; ///< No loan is asked for before.
     DataCentre lastLender_;
@@ -150,8 +149,8 @@
         TimePoint askedAt_;
     };
 
-    std::deque<Tokens> tokens_; ///< By expiry.
-    std::deque<Operation> waiting_;
+    std::vector<Tokens> tokens_; ///< By expiry.
+    std::vector<Operation> waiting_;
     std::optional<Outstanding> asked_;
     double demandPerSecond_ { 0 };
     TimePoint demandAt_;
--- a/src/request/AccountQuota.cpp
+++ b/src/request/AccountQuota.cpp
@@ -15,7 +15,7 @@
     // Room for a burst, even of an account whose part in each data centre is less.
     constexpr double minimumCap = 2;
     // An instance earns this part of the rate while another one may own the ledger as well.
-    constexpr double standInPart = 0.25;
+    constexpr double fallbackPart = 0.25;
     // Lists of instances reach the instances of a data centre within this time of each other: control members exchange
     // them every second.
     constexpr Duration listDelay = 1s;
@@ -24,13 +24,13 @@
     // Instances that start together know each other after two exchanges between control members.
     constexpr Duration settleTime = 2500ms;
     // Part of the overage that a ledger may use for tokens that are held for a while before their use. The rest is for
-    // instances that stand in for an owner which others still reach.
+    // fallback owners while others still reach the owner.
     constexpr double heldOveragePart = 0.3;
-    // Stand-ins give away this multiple of the overage in a window at most: a quarter of the rate for four seconds, in
-    // which control members notice that the owner is gone.
-    constexpr double standInOverage = 2;
-    // Instances that may stand in for an owner. More would earn too much together.
-    constexpr std::size_t maximumStandIns = 2;
+    // Fallback owners give away this multiple of the overage in a window at most: a quarter of the rate for four
+    // seconds, in which control members notice that the owner is gone.
+    constexpr double fallbackOverage = 2;
+    // Fallback owners of a ledger at most. More would earn too much together.
+    constexpr std::size_t maximumFallbacks = 2;
     // An owner keeps a request for tokens that it expects; the rest of tokenWait is for the way.
     constexpr Duration holdTime = 100ms;
     // Tokens are asked for ahead of their use for this long.
@@ -60,8 +60,9 @@
     constexpr Duration maximumComeBack = 60s;
     // Unused ledgers and caches are dropped after this time.
     constexpr Duration idleTime = 10s;
-    // An instance that has announced its end is out of all lists within this time.
-    constexpr Duration leavingTime = 5s;
+    // An instance that has announced its end is out of all lists within this time: an exchange between control members,
+    // and an interval of the feed. After a longer time, it may have been started again.
+    constexpr Duration leavingTime = 1500ms;
     // Rounding of sums of fractions.
     constexpr double epsilon = 1e-9;
 
@@ -154,7 +155,7 @@
     // Tokens with which a ledger begins that may have had another owner just before.
     double beginningTokens(const QuotaState& state, const QuotaLimit& limit, bool isOwner, TimePoint now)
     {
-        return firstTokens(state.settings_, limit) * (isOwner ? 1 : standInPart)
+        return firstTokens(state.settings_, limit) * (isOwner ? 1 : fallbackPart)
             * (now < settledAt(state) ? knownPart(state) : 1);
     }
 
@@ -169,7 +170,7 @@
                 if (from < boundary && boundary < end)
                     end = boundary;
             }
-            const double part = (from < ledger.fullFrom_ ? standInPart : 1) * (from < settled ? knownPart(state) : 1);
+            const double part = (from < ledger.fullFrom_ ? fallbackPart : 1) * (from < settled ? knownPart(state) : 1);
             sum += part * seconds(end - from);
             from = end;
         }
@@ -194,7 +195,7 @@
         const double perWindow = rateOf(settings, limit) * seconds(settings.window_);
         const double bound = ledger.isOwner_
             ? quotaCap(settings, limit) + perWindow * (1 + settings.overage_ * heldOveragePart)
-            : firstTokens(settings, limit) * standInPart + perWindow * settings.overage_ * standInOverage;
+            : firstTokens(settings, limit) * fallbackPart + perWindow * settings.overage_ * fallbackOverage;
         return std::min(ledger.balance_, bound - ledger.spent_.sum_);
     }
 
@@ -206,7 +207,7 @@
 
     Duration timeToToken(const QuotaState& state, const QuotaLedger& ledger, const QuotaLimit& limit, double before)
     {
-        const double rate = rateOf(state.settings_, limit) * (ledger.isOwner_ ? 1 : standInPart);
+        const double rate = rateOf(state.settings_, limit) * (ledger.isOwner_ ? 1 : fallbackPart);
         const double missing = before + 1 - spendable(state, ledger, limit);
         if (missing <= 0)
             return Duration::zero();
@@ -385,7 +386,7 @@
             }
             countEvents(ledger.usePerSecond_, ledger.usedAt_, tokens, now);
             reply(state, account, item, tokens, timeToToken(state, ledger, limit, 0), actions);
-            ledger.waiting_.pop_front();
+            ledger.waiting_.erase(ledger.waiting_.begin());
         }
         borrow(state, account, ledger, limit, now, actions);
         // What cannot be granted in time is refused at once.
@@ -466,7 +467,7 @@
     void dropExpired(QuotaCache& cache, TimePoint now)
     {
         while (!cache.tokens_.empty() && (cache.tokens_.front().expiresAt_ <= now || cache.tokens_.front().count_ == 0))
-            cache.tokens_.pop_front();
+            cache.tokens_.erase(cache.tokens_.begin());
     }
 
     void admitWaiting(const AccountId& account, QuotaCache& cache, TimePoint now, QuotaActions& actions)
@@ -476,7 +477,7 @@
             auto& tokens = cache.tokens_.front();
             actions.decisions_.push_back(
                 { account, cache.waiting_.front().number_, true, {}, false, tokens.expiresAt_ });
-            cache.waiting_.pop_front();
+            cache.waiting_.erase(cache.waiting_.begin());
             --tokens.count_;
             dropExpired(cache, now);
         }
@@ -560,7 +561,7 @@
     {
         leaveInstance(state, from, now, actions);
         auto* ledger = ledgerFor(state, message.account_, now);
-        if (!ledger || !ledger->isOwner_)
+        if (!ledger || !ledger->isOwner_ || state.isStale_)
             return;
         const auto& limit = state.limits_.at(message.account_);
         // The previous owner grants nothing any more.
@@ -690,8 +691,8 @@
     std::copy_if(instances->second.begin(), instances->second.end(), std::back_inserter(present),
         [&](const InstanceId& instance) { return !state.left_.contains(instance); });
     found->second = rendezvousOrder(present, account.value_);
-    if (found->second.size() > 1 + maximumStandIns)
-        found->second.resize(1 + maximumStandIns);
+    if (found->second.size() > 1 + maximumFallbacks)
+        found->second.resize(1 + maximumFallbacks);
     return found->second;
 }
 
@@ -822,6 +823,9 @@
 void leaveInstance(QuotaState& state, const InstanceId& instance, TimePoint now, QuotaActions& actions)
 {
     noteTime(state, now);
+    // The announcement may have arrived during a suspend, and the instance have started again since.
+    if (state.isStale_)
+        return;
     const bool isNew = !state.left_.contains(instance);
     state.left_[instance] = now + leavingTime;
     if (!isNew)
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -23,11 +23,13 @@
         return { EndpointId("i-1"), EndpointId("i-2"), EndpointId("i-3") };
     }
 
-    ClientAccounts accountsOf(const std::map<std::string, std::vector<std::string>>& keys)
+    ClientAccounts accountsOf(const GatewayHarness::Options& options)
     {
         std::vector<ClientAccount> accounts;
-        for (const auto& [name, texts] : keys) {
+        for (const auto& [name, texts] : *options.accounts_) {
             ClientAccount account { AccountId(name), {}, 0, {} };
+            if (const auto quota = options.quotas_.find(name); quota != options.quotas_.end())
+                account.quota_ = quota->second;
             for (const auto& text : texts)
                 account.keys_.push_back(digestOf(text));
             accounts.push_back(account);
@@ -44,7 +46,7 @@
         RouteCatalog catalog;
         catalog.version_ = version;
         if (options.accounts_)
-            catalog.accounts_ = accountsOf(*options.accounts_);
+            catalog.accounts_ = accountsOf(options);
         catalog.groups_ = { { GroupId("returns"), options.connectionLimit_, 0 } };
         catalog.idleTransaction_ = options.idleTransaction_;
         const auto add = [&](const std::string& name, Consistency consistency, int priority) {
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -65,6 +65,7 @@
         /// Names and keys of client accounts; nothing for a catalog without accounts.
         std::optional<std::map<std::string, std::vector<std::string>>> accounts_ {};
         std::set<std::string> publicRoutes_ {};
+        std::map<std::string, QuotaLimit> quotas_ {}; ///< Of accounts, by name.
         bool failClosed_ { false };
     };
 
--- a/tests/support/QuotaWorld.h
+++ b/tests/support/QuotaWorld.h
@@ -68,7 +68,7 @@
             for (const auto& [account, ledger] : instance->state_.ledgers_) {
                 text += "\n" + instance->id_.value_ + (instance->isUp_ ? "" : " (down)")
                     + (now_ < instance->frozenUntil_ ? " (frozen)" : "") + " " + account.value_
-                    + (ledger.isOwner_ ? " owner" : " stand-in") + ", balance " + std::to_string(ledger.balance_)
+                    + (ledger.isOwner_ ? " owner" : " fallback") + ", balance " + std::to_string(ledger.balance_)
                     + ", spent " + std::to_string(ledger.spent_.sum_);
             }
         }
