--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -43,8 +43,8 @@
         StatementGateway::Options options { settings.name_, settings.dataCentre_, !settings.authorityChecksFences_ };
         options.failClosed_ = settings.failClosed_;
         options.revokeTime_ = settings.revokeTime_;
-        options.quotas_ = { settings.quotaWindow_, settings.quotaOverage_, settings.quotaSlack_,
-            settings.dataCentres_.size() };
+        options.quotas_
+            = { settings.quotaWindow_, settings.quotaOverage_, settings.quotaSlack_, settings.dataCentres_.size() };
         if (settings.forward_.empty())
             return options;
         options.self_ = InstanceId(settings.peers_);
--- a/tests/integration/QuotaTest.cpp
+++ b/tests/integration/QuotaTest.cpp
@@ -59,7 +59,7 @@
     REQUIRE(isDone(client->query("BEGIN")));
     const auto refused = client->query("WRITE three x");
     CHECK(refused.error_ == "BUSY");
-    CHECK(refused.mark_ == 'F');
+    CHECK(refused.mark_ == 'E');
     CHECK(isDone(client->query("ROLLBACK")));
 }
 
