--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -15,6 +15,8 @@
 
     using namespace std::chrono_literals;
 
+    // Two messages of the longest kind. Without a memory limit, nothing else bounds what a peer does not read.
+    constexpr std::size_t maximumQueuedBytes = 2 << 20;
     // Read ahead of an owner that does not take bytes: many ordinary messages.
     constexpr std::size_t readAheadBytes = 16 << 10;
     // Answers that wait for a client to read them; the next statement waits until there are fewer.
@@ -304,6 +306,8 @@
     if (outgoing_.empty())
         return closing_ ? -1 : 0;
     const auto left = queuedBytes();
+    if (!memory_ && left > maximumQueuedBytes)
+        return -1;
     // Not lws_write(), which would keep a copy of what the socket does not take, out of our sight.
     const auto written
         = ::send(lws_get_socket_fd(connection_.wsi_), outgoing_.data() + sent_, left, MSG_NOSIGNAL | MSG_DONTWAIT);
