Learn how many statements in flight each endpoint handles well

Cause: the window grew below 90 ms and shrank above, for any statement. Statements of 33 and 55 ms at an endpoint of half speed closed it to one, and at an endpoint that slows down from 40 % of its slots on it stayed at the largest.

The limit follows response times relative to the unloaded time of the same class at the same endpoint, and under overload approaches the slots in use by Little's law. Reads are placed by the time of their class.

--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -11,6 +11,14 @@
     // Attempts of one statement at endpoints.
     constexpr int maximumAttempts = 4;
 
+    // Statements of one route that take about the same time: a commit waits for replicas, and the first statement of a
+    // transaction includes its begin.
+    ClassId timeClass(const Route& route, StatementKind kind, bool opensTransaction)
+    {
+        const auto* suffix = kind == StatementKind::Commit ? "/commit" : opensTransaction ? "/begin" : "";
+        return ClassId(route.name_ + suffix);
+    }
+
 } // namespace
 
 // Whether what the statement writes stays if it has run.
@@ -173,7 +181,8 @@
     auto& load = endpoint->load_;
     const auto floorAge = job->floor_ ? job->sent_ - job->floor_->reachedAt_ : Duration::zero();
     if (!reply.error_) {
-        recordResponse(load, now - job->sent_, now);
+        recordResponse(load, now - job->sent_, now, timeClass(*job->route_, job->kind_, job->opensTransaction_));
+        tellLimit(*endpoint);
         metrics_.record(HistogramId::RunTime, now - job->sent_);
         if (job->floor_ && endpoint->record_.role_ == EndpointRole::Replica)
             recordCaughtUp(load, floorAge);
@@ -185,6 +194,7 @@
     load.failingSince_ = {};
     if (reply.error_->error_ == StatementError::Overloaded) {
         recordShed(load, now);
+        tellLimit(*endpoint);
         if (job->atPrimary_ && !job->needsPrimary_)
             recordStrain(load, now);
     }
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -291,6 +291,19 @@
         reportHandler_();
 }
 
+void StatementGateway::tellLimit(Endpoint& endpoint)
+{
+    auto& capacity = endpoint.load_.capacity_;
+    if (!takeLimitChange(capacity))
+        return;
+    const auto now = suspendAwareNow();
+    LogLine(LogKind::Belief, "endpoint_limit_changed")
+        .with("endpoint", endpoint.record_.id_.value_)
+        .with("limit", static_cast<std::uint64_t>(sendLimit(endpoint.load_)))
+        .with("slowdown_percent", static_cast<std::uint64_t>(slowdown(capacity, now) * 100))
+        .with("in_flight", static_cast<std::uint64_t>(endpoint.load_.inFlight_));
+}
+
 void StatementGateway::openLink(Endpoint& endpoint)
 {
     std::erase_if(endpoint.links_, [](const EndpointLinkPtr& link) { return link->isClosed(); });
@@ -319,7 +332,7 @@
     const bool wantsPrimary = group.primaryQueue_.waiting_ > 0
         || (!group.awaitSample_.empty() && !group.sampling_ && !awaitsSharedSample(group));
     const auto wantsLink = [](const Endpoint& endpoint) {
-        return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < static_cast<std::size_t>(endpoint.load_.window_);
+        return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < sendLimit(endpoint.load_);
     };
     if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -124,12 +124,16 @@
 {
     const auto* first = primary(group);
     std::size_t reads = 0;
+    // Holders are spread over the data centres, and each of those has as many.
+    const std::size_t sharers
+        = group.holders_.empty() ? instances_ : group.holders_.size() * std::max<std::size_t>(dataCentres_, 1);
     for (const auto& [id, endpoint] : endpoints_) {
-        if (endpoint->record_.group_ == group.id_ && isUsable(*endpoint))
-            reads += static_cast<std::size_t>(endpoint->load_.window_);
+        if (endpoint->record_.group_ != group.id_ || !isUsable(*endpoint))
+            continue;
+        endpoint->load_.capacity_.slotShare_ = slotShare(endpoint->record_.slots_, sharers);
+        reads += sendLimit(endpoint->load_);
     }
-    group.primaryQueue_.settings_.slots_
-        = std::max<std::size_t>(1, first ? static_cast<std::size_t>(first->load_.window_) : 1);
+    group.primaryQueue_.settings_.slots_ = std::max<std::size_t>(1, first ? sendLimit(first->load_) : 1);
     group.readQueue_.settings_.slots_ = std::max<std::size_t>(1, reads);
 }
 
@@ -199,7 +203,7 @@
     std::erase_if(
         candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
     const auto now = suspendAwareNow();
-    const auto chosen = placeRead(candidates, now - job->floor_->reachedAt_, now);
+    const auto chosen = placeRead(candidates, now - job->floor_->reachedAt_, now, ClassId(job->route_->name_));
     return chosen ? choices[*chosen] : nullptr;
 }
 
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -209,6 +209,7 @@
     void linkReady(const EndpointId&);
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
+    static void tellLimit(Endpoint&);
     void requestSample(Group&);
     bool awaitsSharedSample(const Group&) const;
     static EndpointLinkPtr restingLink(const Endpoint&);
--- a/include/cassiahollow/request/StatementPlacement.h
+++ b/include/cassiahollow/request/StatementPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiahollow/process/Types.h"
+#include "cassiahollow/request/EndpointCapacity.h"
 #include "cassiahollow/version/RouteCatalog.h"
 
 #include <chrono>
@@ -22,7 +23,7 @@
     TimePoint failingSince_; ///< First failure since the last response; the epoch if none.
     TimePoint avoidUntil_; ///< End of the pause after a shed statement or a failure.
     TimePoint connectionLimitUntil_; ///< End of the pause after a refusal for its connection limit.
-    double window_ { 2 }; ///< Maximum number of statements in flight from this instance.
+    EndpointCapacity capacity_; ///< Its limit bounds the statements in flight from this instance.
     Duration lag_ { 0 }; ///< Replication lag at lagMeasuredAt_.
     TimePoint lagMeasuredAt_;
     /// Primaries only: time of the last rejected read that was sent here because all replicas were behind.
@@ -45,13 +46,14 @@
 /// An exchange without a response for this long counts as a failure of the endpoint.
 inline constexpr Duration responseTimeout = std::chrono::milliseconds(300);
 
-/// Records a response and adapts the window. `response` is the time from sending the statement.
-void recordResponse(EndpointLoad&, Duration response, TimePoint now);
+/// Records a response and adapts the limit. `response` is the time from sending the statement. Statements of
+/// one class take about the same time at an unloaded endpoint.
+void recordResponse(EndpointLoad&, Duration response, TimePoint now, const ClassId& = {});
 /// Records that the endpoint did not have a position that the primary had `floorAge` ago.
 void recordBehind(EndpointLoad&, Duration floorAge, TimePoint now);
 /// Records that the endpoint had a position that the primary had `floorAge` ago.
 void recordCaughtUp(EndpointLoad&, Duration floorAge);
-/// Records that the endpoint shed a statement: pauses it and halves the window.
+/// Records that the endpoint shed a statement: pauses it and halves the limit.
 void recordShed(EndpointLoad&, TimePoint now);
 /// Records a lost connection or a missing response.
 void recordFailure(EndpointLoad&, TimePoint now);
@@ -68,15 +70,12 @@
 
 /// The expected replication lag now.
 Duration expectedLag(const EndpointLoad&, TimePoint now);
-/// The expected response time in seconds, without the load of this instance's own statements.
-double expectedResponse(const EndpointLoad&, TimePoint now);
-
-/// The window grows while response times are below this, and shrinks above it. A few statements then wait at the
-/// endpoint, which keeps its slots in use. The others wait at this instance, which starts the most urgent first.
-inline constexpr double windowResponseSeconds = 0.09;
-inline constexpr double smallestWindow = 1;
-inline constexpr double largestWindow = 16;
+/// The expected response time in seconds, without the load of this instance's own statements. Of a class that the
+/// endpoint has not run, or without a class, it is that of the statements which the endpoint ran lately.
+double expectedResponse(const EndpointLoad&, TimePoint now, const ClassId& = {});
 
+/// The number of statements in flight from this instance that the endpoint handles well.
+std::size_t sendLimit(const EndpointLoad&);
 /// How many more statements may be sent to an endpoint with this many idle connections. Covers the load pattern of many
 /// instances that share the few slots of one endpoint: the queue at the endpoint is first come, first served, and sheds
 /// load.
@@ -102,7 +101,8 @@
 /// Chooses the endpoint for a read with a floor of the given age: the one with the least expected time among those that
 /// are expected to have caught up. A replica that is behind is chosen only when there is no other candidate. Returns
 /// the candidate's index_, or nothing if there are no candidates.
-std::optional<std::size_t> placeRead(const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now);
+std::optional<std::size_t> placeRead(
+    const std::vector<PlacementCandidate>&, Duration floorAge, TimePoint now, const ClassId& = {});
 
 /// Whether a replica that has not been tried is expected to have caught up. If none is, a read waits for the primary
 /// without trying a replica, because a replica that is behind costs a round trip and a retry.
@@ -139,6 +139,9 @@
 /// of the one above it. Within a level, a route with a short objective has short statements, so serving it first
 /// completes more statements.
 double queueWeight(const Route&);
+/// The worth of one statement of a route that is answered within the objective. Each priority level has half the worth
+/// of the one above it.
+double statementValue(const Route&);
 
 /// The delay after which a client should retry a refused statement: the time to run the statements that wait before it,
 /// and, without a primary, the expected duration of the change of primary.
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -24,14 +24,13 @@
 
 } // namespace
 
-void recordResponse(EndpointLoad& load, Duration response, TimePoint now)
+void recordResponse(EndpointLoad& load, Duration response, TimePoint now, const ClassId& name)
 {
     const double seconds = std::chrono::duration<double>(response).count();
     load.responseSeconds_ = expectedResponse(load, now) * (1 - responseSmoothing) + seconds * responseSmoothing;
     load.lastRespondedAt_ = now;
     load.failingSince_ = {};
-    const double change = seconds < windowResponseSeconds ? 1 / load.window_ : -load.window_ / 16;
-    load.window_ = std::clamp(load.window_ + change, smallestWindow, largestWindow);
+    learnResponse(load.capacity_, name, response, now);
 }
 
 void recordBehind(EndpointLoad& load, Duration floorAge, TimePoint now)
@@ -50,13 +49,15 @@
 void recordShed(EndpointLoad& load, TimePoint now)
 {
     load.avoidUntil_ = std::max(load.avoidUntil_, now + shedPause);
-    load.window_ = std::max(smallestWindow, load.window_ / 2);
+    learnShed(load.capacity_);
 }
 
 void recordFailure(EndpointLoad& load, TimePoint now)
 {
-    if (load.failingSince_ == TimePoint())
+    if (load.failingSince_ == TimePoint()) {
         load.failingSince_ = now;
+        learnFailure(load.capacity_);
+    }
     load.avoidUntil_ = std::max(load.avoidUntil_, now + failurePause);
 }
 
@@ -91,18 +92,25 @@
     return std::chrono::duration_cast<Duration>(lag);
 }
 
-double expectedResponse(const EndpointLoad& load, TimePoint now)
+double expectedResponse(const EndpointLoad& load, TimePoint now, const ClassId& name)
 {
     if (!hasResponded(load))
         return defaultResponseSeconds;
     const double weight = remainingWeight(now - load.lastRespondedAt_);
-    return load.responseSeconds_ * weight + defaultResponseSeconds * (1 - weight);
+    const double unloaded = unloadedTime(load.capacity_, name);
+    const double seconds = unloaded > 0 ? unloaded + load.capacity_.waitSeconds_ : load.responseSeconds_;
+    return seconds * weight + defaultResponseSeconds * (1 - weight);
+}
+
+std::size_t sendLimit(const EndpointLoad& load)
+{
+    return static_cast<std::size_t>(load.capacity_.limit_);
 }
 
 std::size_t sendCapacity(const EndpointLoad& load, std::size_t idleConnections)
 {
-    const auto window = static_cast<std::size_t>(load.window_);
-    return window > load.inFlight_ ? std::min(idleConnections, window - load.inFlight_) : 0;
+    const auto limit = sendLimit(load);
+    return limit > load.inFlight_ ? std::min(idleConnections, limit - load.inFlight_) : 0;
 }
 
 bool hasCaughtUpReplica(const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
@@ -113,7 +121,7 @@
 }
 
 std::optional<std::size_t> placeRead(
-    const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
+    const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now, const ClassId& name)
 {
     const PlacementCandidate* best = nullptr;
     double bestSeconds = 0;
@@ -121,7 +129,7 @@
         const auto& load = *candidate.load_;
         const double share
             = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
-        double seconds = expectedResponse(load, now) * std::max(1.0, share);
+        double seconds = expectedResponse(load, now, name) * std::max(1.0, share);
         seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
         seconds += candidate.isLocal_ ? 0 : remotePenaltySeconds;
         // Each of these penalties exceeds any difference in time, and each the sum of the ones before it.
@@ -155,7 +163,12 @@
 double queueWeight(const Route& route)
 {
     const double perSecond = 1 / std::max(0.01, std::chrono::duration<double>(route.objective_).count());
-    return std::exp2(-std::clamp(route.priority_, 0, 6)) * perSecond * perSecond;
+    return statementValue(route) * perSecond * perSecond;
+}
+
+double statementValue(const Route& route)
+{
+    return std::exp2(-std::clamp(route.priority_, 0, 6));
 }
 
 std::chrono::milliseconds retryAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary)
