Smooth the slots from which the queue expects waits

Cause: learned limits vary by one slot from moment to moment. A wait that was expected from the lowest refused statements that could start in time.

--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -40,8 +40,21 @@
 struct AdmissionClass {
     double weight_ { 1 }; ///< Relative share of the slot time while all classes have waiting items. Must be above 0.
     bool urgent_ { false }; ///< May use the reserved slot.
+    double value_ { 1 }; ///< Worth of one statement that starts in time, relative to the other classes.
 };
 
+/// How the classes of a queue share its slots.
+enum class AdmissionOrder : std::uint8_t {
+    Shares, ///< By weight: deficit round robin.
+    /// By the value of one second of a slot, which is the value of a statement divided by the measured service time.
+    /// Each class keeps guaranteedShare, and a statement whose deadline is near starts before more valuable ones that
+    /// can all still wait. Covers overload by long statements of little value.
+    Value,
+};
+
+/// Share of the slot time that each class with waiting items gets in AdmissionOrder::Value, so that none starves.
+inline constexpr double guaranteedShare = 0.05;
+
 /// Limits of one queue.
 struct AdmissionSettings {
     std::size_t slots_ { 1 }; ///< Maximum number of statements in flight, from the endpoint's announcement.
@@ -51,6 +64,7 @@
     /// Assumed service time of a class until its first statement has finished.
     Duration initialServiceTime_ { std::chrono::milliseconds(2) };
     std::map<ClassId, AdmissionClass> classes_; ///< Classes that are not listed have weight 1 and are not urgent.
+    AdmissionOrder order_ { AdmissionOrder::Shares };
 };
 
 namespace detail {
@@ -82,6 +96,8 @@
         AdmissionClass settings_;
         double deficit_ { 0 }; ///< Deficit round robin credit: unused slot time in seconds.
         double serviceTime_ { 0 }; ///< Measured mean service time in seconds.
+        double offered_ { 0 }; ///< Slots that the class needs to run all its items, from recent arrivals.
+        TimePoint offeredAt_;
         std::size_t waiting_ { 0 };
         AdmissionItems transactionItems_; ///< Statements of transactions; served before the others of the class.
         std::map<ServiceId, ServiceQueue> services_;
@@ -102,6 +118,10 @@
     ~AdmissionQueue();
 
     AdmissionSettings settings_;
+    /// settings_.slots_, smoothed over slotsTime: limits that are learned vary by one slot from moment to moment, and a
+    /// wait that is expected from the lowest of them would refuse statements that can start in time.
+    double expectedSlots_ { 0 };
+    TimePoint slotsAt_; ///< Time of the last update of expectedSlots_; the epoch before the first one.
     bool hasUrgent_ { false }; ///< Some class is urgent; one slot is then reserved if there are several.
     std::size_t waiting_ { 0 };
     std::size_t running_ { 0 };
@@ -150,6 +170,6 @@
 std::optional<TimePoint> nextDeadline(const AdmissionQueue&);
 
 /// How long a new item of this class and service would wait for its start, by the measured service times.
-Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, bool ownsConnection = false);
+Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, TimePoint now, bool ownsConnection = false);
 
 } // namespace cassiahollow
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace cassiahollow {
@@ -17,6 +18,14 @@
     // Keeps the measured service time above zero on coarse clocks.
     constexpr double minimumServiceTime = 1e-6;
 
+    // The offered load of a class follows a change within about this time, which spans several statements of the
+    // rarest class at each holder.
+    constexpr Seconds offeredTime { 1 };
+    // Long enough for several statements of any class, and well below the shortest time that statements wait.
+    constexpr Seconds slotsTime { 0.3 };
+    // A class may save up this many statements of its guaranteed share.
+    constexpr double guaranteedStatements = 2;
+
     ClassQueue& classQueueFor(AdmissionQueue& queue, const ClassId& name)
     {
         const auto [entry, isNew] = queue.classes_.try_emplace(name);
@@ -30,6 +39,16 @@
         return classQueue;
     }
 
+    // Follows settings_.slots_.
+    void updateExpectedSlots(AdmissionQueue& queue, TimePoint now)
+    {
+        const auto slots = static_cast<double>(queue.settings_.slots_);
+        const bool isFirst = queue.slotsAt_ == TimePoint();
+        const double kept = isFirst ? 0 : std::exp(-std::max(0.0, Seconds(now - queue.slotsAt_) / slotsTime));
+        queue.expectedSlots_ = queue.expectedSlots_ * kept + slots * (1 - kept);
+        queue.slotsAt_ = now;
+    }
+
     // Removes a waiting item from all lists.
     void unlink(AdmissionQueue& queue, AdmissionItem& item)
     {
@@ -97,6 +116,71 @@
         return chosen;
     }
 
+    double valuePerSecond(const ClassQueue& classQueue)
+    {
+        return classQueue.settings_.value_ / classQueue.serviceTime_;
+    }
+
+    double offeredNow(const ClassQueue& classQueue, TimePoint now)
+    {
+        return classQueue.offered_ * std::exp(-std::max(0.0, Seconds(now - classQueue.offeredAt_) / offeredTime));
+    }
+
+    // The item of the class that starts next, which has the earliest deadline of its service.
+    const AdmissionItem& firstItem(const ClassQueue& classQueue)
+    {
+        return classQueue.transactionItems_.empty() ? classQueue.activeServices_.front().items_.front()
+                                                    : classQueue.transactionItems_.front();
+    }
+
+    // Whether the first item of the class has to start now, and all items of more valuable classes can still wait until
+    // it has run.
+    bool mustStartNow(const AdmissionQueue& queue, const ClassQueue& classQueue, std::size_t connections, TimePoint now)
+    {
+        const auto slots = static_cast<double>(queue.settings_.slots_);
+        const double left = Seconds(firstItem(classQueue).deadline_ - now).count();
+        double work = classQueue.serviceTime_;
+        if (left > 2 * work)
+            return false;
+        double slack = std::numeric_limits<double>::infinity();
+        for (const auto& other : queue.activeClasses_) {
+            if (&other == &classQueue || !isEligible(queue, other, connections)
+                || valuePerSecond(other) < valuePerSecond(classQueue))
+                continue;
+            work += static_cast<double>(other.waiting_) * other.serviceTime_;
+            slack = std::min(slack, Seconds(firstItem(other).deadline_ - now).count());
+        }
+        return work / slots < slack;
+    }
+
+    // The class with the most valuable second of a slot, after those that are below their guaranteed share and those
+    // whose items have to start now.
+    ClassQueue* chooseByValue(AdmissionQueue& queue, std::size_t connections, TimePoint now)
+    {
+        ClassQueue* chosen = nullptr;
+        int chosenRank = 0;
+        for (auto& classQueue : queue.activeClasses_) {
+            if (!isEligible(queue, classQueue, connections))
+                continue;
+            const int rank = classQueue.deficit_ >= classQueue.serviceTime_ ? 2
+                : mustStartNow(queue, classQueue, connections, now)         ? 1
+                                                                            : 0;
+            if (!chosen || rank > chosenRank
+                || (rank == chosenRank && valuePerSecond(classQueue) > valuePerSecond(*chosen))) {
+                chosen = &classQueue;
+                chosenRank = rank;
+            }
+        }
+        if (!chosen)
+            return nullptr;
+        const double served = chosen->serviceTime_;
+        for (auto& classQueue : queue.activeClasses_)
+            classQueue.deficit_ = std::min(
+                classQueue.deficit_ + served * guaranteedShare, guaranteedStatements * classQueue.serviceTime_);
+        chosen->deficit_ = std::max(0.0, chosen->deficit_ - served);
+        return chosen;
+    }
+
     // Removes and returns the next item of the class. Statements of transactions go first, because they hold a
     // connection; then the services in round-robin order.
     AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue)
@@ -128,6 +212,22 @@
         return static_cast<double>(ahead);
     }
 
+    // Seconds until a new item starts in AdmissionOrder::Value: more valuable classes go first, also with the items
+    // that arrive meanwhile.
+    double waitByValue(const AdmissionQueue& queue, const ClassQueue& own, double ownWork, double usable, TimePoint now)
+    {
+        double work = ownWork;
+        double offered = 0;
+        for (const auto& [name, other] : queue.classes_) {
+            if (&other == &own || valuePerSecond(other) < valuePerSecond(own))
+                continue;
+            work += static_cast<double>(other.waiting_) * other.serviceTime_;
+            offered += offeredNow(other, now);
+        }
+        return std::min(
+            work / std::max(usable * guaranteedShare, usable - offered), ownWork / (usable * guaranteedShare));
+    }
+
     // Slot time in seconds that is used before a new item starts: `ownWork` by its own class, and the share of each
     // other class that the predicate accepts.
     template <typename Predicate>
@@ -170,7 +270,10 @@
         if (queue.waiting_ >= queue.settings_.maximumLength_ || static_cast<double>(classQueue.waiting_) + 1 > share)
             return Reason::QueueFull;
     }
-    if (expectedWait(queue, item.class_, item.service_, item.ownsConnection_) > item.deadline_ - now)
+    // Refused items count as well: they would use slots if there were any.
+    classQueue.offered_ = offeredNow(classQueue, now) + classQueue.serviceTime_ / offeredTime.count();
+    classQueue.offeredAt_ = now;
+    if (expectedWait(queue, item.class_, item.service_, now, item.ownsConnection_) > item.deadline_ - now)
         return Reason::DeadlineUnreachable;
 
     if (item.ownsConnection_) {
@@ -192,13 +295,15 @@
 AdmissionDecision next(AdmissionQueue& queue, TimePoint now, std::size_t freeConnections)
 {
     AdmissionDecision decision;
+    updateExpectedSlots(queue, now);
     while (!queue.deadlines_.empty() && queue.deadlines_.begin()->deadline_ <= now) {
         auto& item = *queue.deadlines_.begin();
         unlink(queue, item);
         decision.refuse_.push_back({ &item, Reason::DeadlinePassed });
     }
     while (queue.running_ < queue.settings_.slots_) {
-        auto* classQueue = chooseClass(queue, freeConnections);
+        auto* classQueue = queue.settings_.order_ == AdmissionOrder::Value ? chooseByValue(queue, freeConnections, now)
+                                                                           : chooseClass(queue, freeConnections);
         if (!classQueue)
             break;
         // Read before takeItem() can remove the last item of the class.
@@ -271,7 +376,8 @@
     return queue.deadlines_.begin()->deadline_;
 }
 
-Duration expectedWait(AdmissionQueue& queue, const ClassId& name, const ServiceId& service, bool ownsConnection)
+Duration expectedWait(
+    AdmissionQueue& queue, const ClassId& name, const ServiceId& service, TimePoint now, bool ownsConnection)
 {
     const auto& own = classQueueFor(queue, name);
     const auto urgent = own.settings_.urgent_;
@@ -281,11 +387,15 @@
     const auto any = [](const ClassQueue&) { return true; };
     const auto isUrgent = [](const ClassQueue& classQueue) { return classQueue.settings_.urgent_; };
 
+    // Before the first call of next() there is no smoothed value.
+    const double expected = queue.expectedSlots_ > 0 ? queue.expectedSlots_ : static_cast<double>(slots);
+    const double drained = std::max(1.0, usable == slots ? expected : expected - 1);
     const auto ownWork = countAhead(own, service, ownsConnection) * own.serviceTime_;
     // If all usable slots are busy, the first becomes free after about one service time divided by their number.
-    const auto residual
-        = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / static_cast<double>(usable) : 0;
-    auto wait = residual + workAhead(queue, own, ownWork, any) / static_cast<double>(usable);
+    const auto residual = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / drained : 0;
+    if (queue.settings_.order_ == AdmissionOrder::Value)
+        return std::chrono::duration_cast<Duration>(Seconds(residual + waitByValue(queue, own, ownWork, drained, now)));
+    auto wait = residual + workAhead(queue, own, ownWork, any) / drained;
     // The reserved slot serves only urgent classes, so that items of other classes do not delay it.
     if (urgent && reservesSlot(queue)) {
         const auto residualReserved = queue.running_ >= slots ? own.serviceTime_ : 0;
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -139,8 +139,8 @@
     for (int i = 0; i < 60; ++i)
         bench.add("c");
     bench.serve(50, 10ms);
-    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) > 95ms);
-    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) < 105ms);
+    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s"), start) > 95ms);
+    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s"), start) < 105ms);
 }
 
 // Guards against waiting requests that are never answered, and against a start after the deadline.
