Order an admission queue by the value of a second of a slot, as an option

Waits count only items that are already there: with those expected to arrive, statements were refused that could start in time.

Also shows the learned limits of an entry instance as gauges.

--- a/benchmark/CapacityRules.cpp
+++ b/benchmark/CapacityRules.cpp
@@ -65,6 +65,7 @@
     double speed_ { 1 };
     double knee_ { 1 }; ///< Statements are slowed down while more than this share of the slots is in use.
     double failing_ { 0 }; ///< Share of statements that are answered with an error.
+    bool isUsable_ { true }; ///< False for replicas that are far behind, and a primary that does not answer.
     std::size_t running_ { 0 };
     std::deque<std::size_t> waiting_;
 };
@@ -250,7 +251,10 @@
         auto& holder = *holders_[number];
         std::size_t slots = 0;
         std::size_t room = 0;
-        for (const auto& load : holder.loads_) {
+        for (std::size_t i = 0; i < endpointsInGroup; ++i) {
+            const auto& load = holder.loads_[i];
+            if (!servers_[i].isUsable_)
+                continue;
             slots += sendLimit(load);
             room += sendCapacity(load, connections - std::min(connections, load.inFlight_));
         }
@@ -274,7 +278,7 @@
     {
         std::vector<PlacementCandidate> candidates;
         for (std::size_t i = 0; i < endpointsInGroup; ++i) {
-            if (sendCapacity(holder.loads_[i], connections) > 0)
+            if (servers_[i].isUsable_ && sendCapacity(holder.loads_[i], connections) > 0)
                 candidates.push_back(
                     { i, &holder.loads_[i], servers_[i].slots_, i == 0, true, statement.tried_[i], true });
         }
@@ -448,6 +452,8 @@
     const auto slowDown = [](Servers& servers, Kinds&, bool on) { servers[1].speed_ = on ? 0.2 : 1; };
     const auto failing = [](Servers& servers, Kinds&, bool on) { servers[2].failing_ = on ? 0.3 : 0; };
     const auto longMix = [](Servers&, Kinds& kinds, bool on) { kinds[1].perSecond_ *= on ? 2.5 : 0.4; };
+    const auto behind = [](Servers& servers, Kinds&, bool on) { servers[2].isUsable_ = !on; };
+    const auto silent = [](Servers& servers, Kinds&, bool on) { servers[0].isUsable_ = !on; };
     const auto oneLeft = [](Servers& servers, Kinds&, bool on) {
         servers[0].speed_ = on ? 0.02 : 1;
         servers[2].speed_ = on ? 0.5 : 1;
@@ -476,6 +482,24 @@
                 longMix(servers, kinds, on);
                 oneLeft(servers, kinds, on);
             } },
+        { "one replica of two behind, load 2", 9, 6, 2, true, behind },
+        { "primary silent, one replica behind", 9, 6, 1, true,
+            [=](Servers& servers, Kinds& kinds, bool on) {
+                behind(servers, kinds, on);
+                silent(servers, kinds, on);
+            } },
+        { "all together", 9, 6, 1, true,
+            [=](Servers& servers, Kinds& kinds, bool on) {
+                behind(servers, kinds, on);
+                silent(servers, kinds, on);
+                longMix(servers, kinds, on);
+            } },
+        { "all together, load 1.3", 9, 6, 1.3, true,
+            [=](Servers& servers, Kinds& kinds, bool on) {
+                behind(servers, kinds, on);
+                silent(servers, kinds, on);
+                longMix(servers, kinds, on);
+            } },
         { "overload 1.5, 9 holders", 9, 4, 1, false, overload(7) },
         { "overload 1.5, first", 9, 6, 1, true, overload(6.5) },
         { "overload 1.5, 134", 134, 6, 1, true, overload(6.5) },
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -220,6 +220,11 @@
     metrics_.setGauge("client_sessions", static_cast<double>(gateway_.sessions()));
     metrics_.setGauge("held_groups", static_cast<double>(gateway_.heldGroups()));
     metrics_.setGauge("forwarded_statements", static_cast<double>(gateway_.forwardedStatements()));
+    const auto limits = gateway_.learnedLimits();
+    metrics_.setGauge("endpoint_limit_min", limits.smallest_);
+    metrics_.setGauge("endpoint_limit_mean", limits.mean_);
+    metrics_.setGauge("endpoint_limit_max", limits.largest_);
+    metrics_.setGauge("endpoint_slowdown_max", limits.largestSlowdown_);
     metrics_.setGauge("unreachable_groups", static_cast<double>(gateway_.unreachableGroups()));
     connection->reply({ 200, metrics_.render(), "text/plain" });
 }
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -304,6 +304,25 @@
         .with("in_flight", static_cast<std::uint64_t>(endpoint.load_.inFlight_));
 }
 
+StatementGateway::LimitSummary StatementGateway::learnedLimits() const
+{
+    const auto now = suspendAwareNow();
+    LimitSummary summary;
+    std::size_t count = 0;
+    for (const auto& [id, endpoint] : endpoints_) {
+        const auto& capacity = endpoint->load_.capacity_;
+        if (!hasResponded(endpoint->load_))
+            continue;
+        summary.smallest_ = count == 0 ? capacity.limit_ : std::min(summary.smallest_, capacity.limit_);
+        summary.largest_ = std::max(summary.largest_, capacity.limit_);
+        summary.largestSlowdown_ = std::max(summary.largestSlowdown_, slowdown(capacity, now));
+        summary.mean_ += capacity.limit_;
+        ++count;
+    }
+    summary.mean_ /= static_cast<double>(std::max<std::size_t>(count, 1));
+    return summary;
+}
+
 void StatementGateway::openLink(Endpoint& endpoint)
 {
     std::erase_if(endpoint.links_, [](const EndpointLinkPtr& link) { return link->isClosed(); });
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -86,6 +86,14 @@
     std::size_t sessions() const { return sessions_.size(); }
     std::size_t heldGroups() const;
     std::size_t forwardedStatements() const;
+    /// What this instance has learned of the endpoints that have answered it; all 0 if none has.
+    struct LimitSummary {
+        double smallest_ { 0 };
+        double mean_ { 0 };
+        double largest_ { 0 };
+        double largestSlowdown_ { 0 };
+    };
+    LimitSummary learnedLimits() const;
 
 private:
     struct Session;
--- a/include/cassiahollow/request/AdmissionQueue.h
+++ b/include/cassiahollow/request/AdmissionQueue.h
@@ -96,8 +96,6 @@
         AdmissionClass settings_;
         double deficit_ { 0 }; ///< Deficit round robin credit: unused slot time in seconds.
         double serviceTime_ { 0 }; ///< Measured mean service time in seconds.
-        double offered_ { 0 }; ///< Slots that the class needs to run all its items, from recent arrivals.
-        TimePoint offeredAt_;
         std::size_t waiting_ { 0 };
         AdmissionItems transactionItems_; ///< Statements of transactions; served before the others of the class.
         std::map<ServiceId, ServiceQueue> services_;
@@ -170,6 +168,6 @@
 std::optional<TimePoint> nextDeadline(const AdmissionQueue&);
 
 /// How long a new item of this class and service would wait for its start, by the measured service times.
-Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, TimePoint now, bool ownsConnection = false);
+Duration expectedWait(AdmissionQueue&, const ClassId&, const ServiceId&, bool ownsConnection = false);
 
 } // namespace cassiahollow
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -18,9 +18,6 @@
     // Keeps the measured service time above zero on coarse clocks.
     constexpr double minimumServiceTime = 1e-6;
 
-    // The offered load of a class follows a change within about this time, which spans several statements of the
-    // rarest class at each holder.
-    constexpr Seconds offeredTime { 1 };
     // Long enough for several statements of any class, and well below the shortest time that statements wait.
     constexpr Seconds slotsTime { 0.3 };
     // A class may save up this many statements of its guaranteed share.
@@ -121,11 +118,6 @@
         return classQueue.settings_.value_ / classQueue.serviceTime_;
     }
 
-    double offeredNow(const ClassQueue& classQueue, TimePoint now)
-    {
-        return classQueue.offered_ * std::exp(-std::max(0.0, Seconds(now - classQueue.offeredAt_) / offeredTime));
-    }
-
     // The item of the class that starts next, which has the earliest deadline of its service.
     const AdmissionItem& firstItem(const ClassQueue& classQueue)
     {
@@ -212,20 +204,17 @@
         return static_cast<double>(ahead);
     }
 
-    // Seconds until a new item starts in AdmissionOrder::Value: more valuable classes go first, also with the items
-    // that arrive meanwhile.
-    double waitByValue(const AdmissionQueue& queue, const ClassQueue& own, double ownWork, double usable, TimePoint now)
+    // Seconds until a new item starts in AdmissionOrder::Value: the waiting items of more valuable classes go first,
+    // except for the guaranteed share. Those that may arrive meanwhile do not count: with them, statements were refused
+    // that could have started in time, and slots were idle.
+    double waitByValue(const AdmissionQueue& queue, const ClassQueue& own, double ownWork, double slots)
     {
         double work = ownWork;
-        double offered = 0;
-        for (const auto& [name, other] : queue.classes_) {
-            if (&other == &own || valuePerSecond(other) < valuePerSecond(own))
-                continue;
-            work += static_cast<double>(other.waiting_) * other.serviceTime_;
-            offered += offeredNow(other, now);
+        for (const auto& other : queue.activeClasses_) {
+            if (&other != &own && valuePerSecond(other) >= valuePerSecond(own))
+                work += static_cast<double>(other.waiting_) * other.serviceTime_;
         }
-        return std::min(
-            work / std::max(usable * guaranteedShare, usable - offered), ownWork / (usable * guaranteedShare));
+        return std::min(work / slots, ownWork / (slots * guaranteedShare));
     }
 
     // Slot time in seconds that is used before a new item starts: `ownWork` by its own class, and the share of each
@@ -270,10 +259,7 @@
         if (queue.waiting_ >= queue.settings_.maximumLength_ || static_cast<double>(classQueue.waiting_) + 1 > share)
             return Reason::QueueFull;
     }
-    // Refused items count as well: they would use slots if there were any.
-    classQueue.offered_ = offeredNow(classQueue, now) + classQueue.serviceTime_ / offeredTime.count();
-    classQueue.offeredAt_ = now;
-    if (expectedWait(queue, item.class_, item.service_, now, item.ownsConnection_) > item.deadline_ - now)
+    if (expectedWait(queue, item.class_, item.service_, item.ownsConnection_) > item.deadline_ - now)
         return Reason::DeadlineUnreachable;
 
     if (item.ownsConnection_) {
@@ -376,8 +362,7 @@
     return queue.deadlines_.begin()->deadline_;
 }
 
-Duration expectedWait(
-    AdmissionQueue& queue, const ClassId& name, const ServiceId& service, TimePoint now, bool ownsConnection)
+Duration expectedWait(AdmissionQueue& queue, const ClassId& name, const ServiceId& service, bool ownsConnection)
 {
     const auto& own = classQueueFor(queue, name);
     const auto urgent = own.settings_.urgent_;
@@ -394,7 +379,7 @@
     // If all usable slots are busy, the first becomes free after about one service time divided by their number.
     const auto residual = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / drained : 0;
     if (queue.settings_.order_ == AdmissionOrder::Value)
-        return std::chrono::duration_cast<Duration>(Seconds(residual + waitByValue(queue, own, ownWork, drained, now)));
+        return std::chrono::duration_cast<Duration>(Seconds(residual + waitByValue(queue, own, ownWork, drained)));
     auto wait = residual + workAhead(queue, own, ownWork, any) / drained;
     // The reserved slot serves only urgent classes, so that items of other classes do not delay it.
     if (urgent && reservesSlot(queue)) {
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -139,8 +139,8 @@
     for (int i = 0; i < 60; ++i)
         bench.add("c");
     bench.serve(50, 10ms);
-    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s"), start) > 95ms);
-    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s"), start) < 105ms);
+    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) > 95ms);
+    REQUIRE(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) < 105ms);
 }
 
 // Guards against waiting requests that are never answered, and against a start after the deadline.
@@ -195,3 +195,59 @@
     REQUIRE(next(bench.queue_, start, 0).start_.empty());
     REQUIRE(next(bench.queue_, start, 1).start_.size() == 1);
 }
+
+// Guards against long statements of little value that fill the slots during an overload of short ones.
+TEST_CASE("by value, a second of a slot goes to the most valuable class, and none starves")
+{
+    auto settings = settingsOf(1, { { ClassId("short"), { 1, false, 4 } }, { ClassId("long"), { 1, false, 1 } } });
+    settings.order_ = AdmissionOrder::Value;
+    Bench bench(std::move(settings));
+    for (int i = 0; i < 300; ++i) {
+        REQUIRE_FALSE(bench.add("short"));
+        REQUIRE_FALSE(bench.add("long"));
+    }
+    const auto served = bench.serve(200);
+    CHECK(served.at("short/s") >= 180);
+    CHECK(served.at("long/s") >= 200 * guaranteedShare - 1);
+}
+
+// Guards against a statement that yields until it can no longer be in time, although the others could wait.
+TEST_CASE("by value, a statement yields until its deadline is near, and no longer")
+{
+    auto settings = settingsOf(1, { { ClassId("short"), { 1, false, 4 } }, { ClassId("long"), { 1, false, 1 } } });
+    settings.order_ = AdmissionOrder::Value;
+    Bench bench(std::move(settings));
+    REQUIRE_FALSE(bench.add("long", "s", 10ms));
+    REQUIRE_FALSE(bench.add("short", "s", 100ms));
+    auto started = next(bench.queue_, start).start_;
+    REQUIRE(started.size() == 1);
+    CHECK(started[0]->class_ == ClassId("short")); // 10 ms are several service times of 2 ms.
+    finished(bench.queue_, *started[0], start + 2ms);
+    REQUIRE_FALSE(bench.add("short", "s", 100ms));
+    started = next(bench.queue_, start + 7ms).start_;
+    REQUIRE(started.size() == 1);
+    CHECK(started[0]->class_ == ClassId("long"));
+    finished(bench.queue_, *started[0], start + 9ms);
+    // The short one that cannot wait goes first.
+    cancel(bench.queue_, *next(bench.queue_, start + 9ms).start_.at(0));
+    REQUIRE_FALSE(bench.add("long", "s", 13ms));
+    REQUIRE_FALSE(bench.add("short", "s", 12ms));
+    started = next(bench.queue_, start + 10ms).start_;
+    REQUIRE(started.size() == 1);
+    CHECK(started[0]->class_ == ClassId("short"));
+}
+
+// Guards against refusals because a limit was low for a moment.
+TEST_CASE("a wait is expected from the slots of the last moments")
+{
+    Bench bench(settingsOf(4));
+    for (int i = 0; i < 12; ++i)
+        REQUIRE_FALSE(bench.add("c"));
+    next(bench.queue_, start);
+    const auto before = expectedWait(bench.queue_, ClassId("c"), ServiceId("s"));
+    bench.queue_.settings_.slots_ = 2;
+    next(bench.queue_, start + 5ms);
+    CHECK(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) < before * 5 / 4);
+    next(bench.queue_, start + 2s);
+    CHECK(expectedWait(bench.queue_, ClassId("c"), ServiceId("s")) > before * 3 / 2);
+}
