Take an endpoint that has not run a class for as fast as the best of the others

The primary ran the first read of the class, and its known time of 1 ms was compared with the 20 ms that are assumed for the replicas. The same held for replicas that had rested.

--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -22,6 +22,31 @@
             -std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(estimateHalfLife)));
     }
 
+    // The expected response time, for an endpoint that is taken to respond in `fallback` without recent evidence.
+    double expectedWith(const EndpointLoad& load, TimePoint now, const ClassId& name, double fallback)
+    {
+        if (!hasResponded(load))
+            return fallback;
+        const double weight = remainingWeight(now - load.lastRespondedAt_);
+        const double unloaded = unloadedTime(load.capacity_, name);
+        if (unloaded == 0 && !name.empty() && fallback < defaultResponseSeconds)
+            return fallback;
+        const double seconds = unloaded > 0 ? unloaded + load.capacity_.waitSeconds_ : load.responseSeconds_;
+        return seconds * weight + fallback * (1 - weight);
+    }
+
+    // The response time assumed for a candidate without recent evidence for the class: that of the best of the others.
+    // Otherwise the first endpoint that has run the class, for example the primary, would keep all its statements.
+    double fallbackFor(const std::vector<PlacementCandidate>& candidates, const ClassId& name)
+    {
+        double seconds = defaultResponseSeconds;
+        for (const auto& candidate : candidates) {
+            if (const double known = unloadedTime(candidate.load_->capacity_, name); known > 0)
+                seconds = std::min(seconds, known);
+        }
+        return seconds;
+    }
+
 } // namespace
 
 void recordResponse(EndpointLoad& load, Duration response, TimePoint now, const ClassId& name)
@@ -94,12 +119,7 @@
 
 double expectedResponse(const EndpointLoad& load, TimePoint now, const ClassId& name)
 {
-    if (!hasResponded(load))
-        return defaultResponseSeconds;
-    const double weight = remainingWeight(now - load.lastRespondedAt_);
-    const double unloaded = unloadedTime(load.capacity_, name);
-    const double seconds = unloaded > 0 ? unloaded + load.capacity_.waitSeconds_ : load.responseSeconds_;
-    return seconds * weight + defaultResponseSeconds * (1 - weight);
+    return expectedWith(load, now, name, defaultResponseSeconds);
 }
 
 std::size_t sendLimit(const EndpointLoad& load)
@@ -125,11 +145,12 @@
 {
     const PlacementCandidate* best = nullptr;
     double bestSeconds = 0;
+    const double fallback = fallbackFor(candidates, name);
     for (const auto& candidate : candidates) {
         const auto& load = *candidate.load_;
         const double share
             = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
-        double seconds = expectedResponse(load, now, name) * std::max(1.0, share);
+        double seconds = expectedWith(load, now, name, fallback) * std::max(1.0, share);
         seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
         seconds += candidate.isLocal_ ? 0 : remotePenaltySeconds;
         // Each of these penalties exceeds any difference in time, and each the sum of the ones before it.
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -202,7 +202,7 @@
     auto settings = settingsOf(1, { { ClassId("short"), { 1, false, 4 } }, { ClassId("long"), { 1, false, 1 } } });
     settings.order_ = AdmissionOrder::Value;
     Bench bench(std::move(settings));
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 0; i < 220; ++i) { // Fits into the half of the places that is open to any class.
         REQUIRE_FALSE(bench.add("short"));
         REQUIRE_FALSE(bench.add("long"));
     }
--- a/tests/StatementPlacementTest.cpp
+++ b/tests/StatementPlacementTest.cpp
@@ -122,6 +122,33 @@
     CHECK(inTurn.onTime_ < inTurn.asked_ * 80 / 100);
 }
 
+// Guards against reads that stay at the primary because it was the first to run their class, or because the replicas
+// have rested.
+TEST_CASE("reads go to replicas that have not run their class lately")
+{
+    const ClassId name("receipts");
+    std::vector<EndpointLoad> loads(3);
+    recordResponse(loads[0], 1ms, start, name);
+    CHECK(placeRead(candidatesOf(loads), 1s, start, name) != 0);
+    recordResponse(loads[1], 1ms, start, name);
+    recordResponse(loads[2], 1ms, start, name);
+    recordResponse(loads[0], 1ms, start + 5s, name);
+    CHECK(placeRead(candidatesOf(loads), 1s, start + 5s, name) != 0);
+}
+
+// Guards against an endpoint that is taken for a fast one because it runs short statements.
+TEST_CASE("reads are placed by the time of their class")
+{
+    std::vector<EndpointLoad> loads(3);
+    auto now = start;
+    for (int i = 0; i < 40; ++i, now += 10ms) {
+        recordResponse(loads[1], 50ms, now, ClassId("audits"));
+        recordResponse(loads[1], 10ms, now, ClassId("receipts"));
+        recordResponse(loads[2], 30ms, now, ClassId("receipts"));
+    }
+    CHECK(placeRead(candidatesOf(loads), 1s, now, ClassId("receipts")) == 1);
+}
+
 // Replays "all replicas far behind": reads must not bounce between replicas that lag.
 TEST_CASE("reads wait for the primary while no replica has caught up, and return when one has")
 {
