--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -203,7 +203,7 @@
     std::erase_if(
         candidates, [&](const PlacementCandidate& candidate) { return choices[candidate.index_]->room() == 0; });
     const auto now = suspendAwareNow();
-    const auto chosen = placeRead(candidates, now - job->floor_->reachedAt_, now, ClassId(job->route_->name_));
+    const auto chosen = placeRead(candidates, now - job->floor_->reachedAt_, now);
     return chosen ? choices[*chosen] : nullptr;
 }
 
