Tell a changed limit at most once in 5 s for an endpoint

Each growth from 2 to 16 after a start gave five lines within 10 ms for every endpoint, seen in GatewayTest; with 24 endpoints these use up the budget of a kind that also tells changed primaries.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -294,9 +294,9 @@
 void StatementGateway::tellLimit(Endpoint& endpoint)
 {
     auto& capacity = endpoint.load_.capacity_;
-    if (!takeLimitChange(capacity))
-        return;
     const auto now = suspendAwareNow();
+    if (!takeLimitChange(capacity, now))
+        return;
     LogLine(LogKind::Belief, "endpoint_limit_changed")
         .with("endpoint", endpoint.record_.id_.value_)
         .with("limit", static_cast<std::uint64_t>(sendLimit(endpoint.load_)))
--- a/include/cassiahollow/request/EndpointCapacity.h
+++ b/include/cassiahollow/request/EndpointCapacity.h
@@ -2,6 +2,7 @@
 
 #include "cassiahollow/process/Types.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -31,6 +32,7 @@
     double busySlots_ { 0 }; ///< Slots that this instance's statements used lately, from their unloaded times.
     TimePoint learnedAt_; ///< Time of the last response; the epoch before the first one.
     double reportedLimit_ { 0 }; ///< The limit when it was last logged.
+    TimePoint reportedAt_;
     std::map<ClassId, ClassTimes> classes_;
 };
 
@@ -62,7 +64,11 @@
 double unloadedTime(const EndpointCapacity&, const ClassId&);
 /// The value of slotShare_ for an endpoint that announces this many slots to this many instances.
 double slotShare(std::size_t slots, std::size_t sharers);
-/// Whether the limit has changed by more than half since this function last returned true.
-bool takeLimitChange(EndpointCapacity&);
+/// Time between two reports of a changed limit. An endpoint's limit grows from 2 to 16 within a second of its first
+/// responses; a report of each step would use up the log's budget for other changes.
+inline constexpr Duration limitReportInterval = std::chrono::seconds(5);
+/// Whether the limit has changed by more than half since this function last returned true, at least
+/// limitReportInterval ago.
+bool takeLimitChange(EndpointCapacity&, TimePoint now);
 
 } // namespace cassiahollow
--- a/src/request/EndpointCapacity.cpp
+++ b/src/request/EndpointCapacity.cpp
@@ -130,15 +130,19 @@
     return std::ceil(static_cast<double>(slots) / static_cast<double>(std::max<std::size_t>(sharers, 1)));
 }
 
-bool takeLimitChange(EndpointCapacity& capacity)
+bool takeLimitChange(EndpointCapacity& capacity, TimePoint now)
 {
-    if (capacity.reportedLimit_ == 0)
+    if (capacity.reportedLimit_ == 0) {
         capacity.reportedLimit_ = capacity.limit_;
+        capacity.reportedAt_ = now;
+    }
     const bool isChanged
         = capacity.limit_ > capacity.reportedLimit_ * 1.5 || capacity.limit_ < capacity.reportedLimit_ * 0.5;
-    if (isChanged)
-        capacity.reportedLimit_ = capacity.limit_;
-    return isChanged;
+    if (!isChanged || now - capacity.reportedAt_ < limitReportInterval)
+        return false;
+    capacity.reportedLimit_ = capacity.limit_;
+    capacity.reportedAt_ = now;
+    return true;
 }
 
 } // namespace cassiahollow
