--- a/src/request/EndpointCapacity.cpp
+++ b/src/request/EndpointCapacity.cpp
@@ -20,7 +20,7 @@
     constexpr Seconds waitHalfLife { 0.7 };
     // Half-life with which the unloaded time of a class approaches the present one. A shorter one would take a queue
     // that lasts for seconds for the endpoint's own time: with windows of 2 to 4 s, the limits grew until the endpoint
-    // shed 12 to 21 % of the statements.
+    // shed 11 to 21 % of the statements.
     constexpr Seconds unloadedHalfLife { 120 };
     // Time over which busySlots_ is measured.
     constexpr Seconds busyTime { 0.5 };
