--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -11,6 +11,14 @@
     // Attempts of one statement at endpoints.
     constexpr int maximumAttempts = 4;
 
+    // Statements of one route that take about the same time: a commit waits for replicas, and the first statement of a
+    // transaction includes its begin.
+    ClassId timeClass(const Route& route, StatementKind kind, bool opensTransaction)
+    {
+        const auto* suffix = kind == StatementKind::Commit ? "/commit" : opensTransaction ? "/begin" : "";
+        return ClassId(route.name_ + suffix);
+    }
+
 } // namespace
 
 // Whether what the statement writes stays if it has run.
@@ -199,7 +207,8 @@
     const auto sent = std::max(job->sent_, link->readyAt());
     const auto floorAge = job->floor_ ? sent - job->floor_->reachedAt_ : Duration::zero();
     if (!reply.error_) {
-        recordResponse(load, now - sent, now);
+        recordResponse(load, now - sent, now, timeClass(*job->route_, job->kind_, job->opensTransaction_));
+        tellLimit(*endpoint);
         metrics_.record(HistogramId::RunTime, now - sent);
         if (job->floor_ && endpoint->record_.role_ == EndpointRole::Replica)
             recordCaughtUp(load, floorAge);
@@ -211,6 +220,7 @@
     load.failingSince_ = {};
     if (reply.error_->error_ == StatementError::Overloaded) {
         recordShed(load, now);
+        tellLimit(*endpoint);
         if (job->atPrimary_ && !job->needsPrimary_)
             recordStrain(load, now);
     }
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -305,6 +305,38 @@
         reportHandler_();
 }
 
+void StatementGateway::tellLimit(Endpoint& endpoint)
+{
+    auto& capacity = endpoint.load_.capacity_;
+    const auto now = suspendAwareNow();
+    if (!takeLimitChange(capacity, now))
+        return;
+    LogLine(LogKind::Belief, "endpoint_limit_changed")
+        .with("endpoint", endpoint.record_.id_.value_)
+        .with("limit", static_cast<std::uint64_t>(sendLimit(endpoint.load_)))
+        .with("slowdown_percent", static_cast<std::uint64_t>(slowdown(capacity, now) * 100))
+        .with("in_flight", static_cast<std::uint64_t>(endpoint.load_.inFlight_));
+}
+
+StatementGateway::LimitSummary StatementGateway::learnedLimits() const
+{
+    const auto now = suspendAwareNow();
+    LimitSummary summary;
+    std::size_t count = 0;
+    for (const auto& [id, endpoint] : endpoints_) {
+        const auto& capacity = endpoint->load_.capacity_;
+        if (!hasResponded(endpoint->load_))
+            continue;
+        summary.smallest_ = count == 0 ? capacity.limit_ : std::min(summary.smallest_, capacity.limit_);
+        summary.largest_ = std::max(summary.largest_, capacity.limit_);
+        summary.largestSlowdown_ = std::max(summary.largestSlowdown_, slowdown(capacity, now));
+        summary.mean_ += capacity.limit_;
+        ++count;
+    }
+    summary.mean_ /= static_cast<double>(std::max<std::size_t>(count, 1));
+    return summary;
+}
+
 std::size_t StatementGateway::connectionLimitOf(const Endpoint& endpoint) const
 {
     const auto* rules = catalog_ ? findGroup(*catalog_, endpoint.record_.group_) : nullptr;
@@ -359,7 +391,7 @@
     const bool wantsPrimary = (group.primaryQueue_.waiting_ > 0 && !group.usesAccounts_)
         || (!group.awaitSample_.empty() && !group.sampling_ && !awaitsSharedSample(group));
     const auto wantsLink = [](const Endpoint& endpoint) {
-        return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < static_cast<std::size_t>(endpoint.load_.window_);
+        return endpoint.idleLinks() == 0 && endpoint.load_.inFlight_ < sendLimit(endpoint.load_);
     };
     if (first && wantsPrimary && wantsLink(*first))
         openLink(*first);
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -104,6 +104,14 @@
     std::size_t sessions() const { return sessions_.size(); }
     std::size_t heldGroups() const;
     std::size_t forwardedStatements() const;
+    /// What this instance has learned of the endpoints that have answered it; all 0 if none has.
+    struct LimitSummary {
+        double smallest_ { 0 };
+        double mean_ { 0 };
+        double largest_ { 0 };
+        double largestSlowdown_ { 0 };
+    };
+    LimitSummary learnedLimits() const;
 
 private:
     struct Session;
@@ -268,6 +276,7 @@
     void linkReady(const EndpointId&);
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
+    static void tellLimit(Endpoint&);
     void requestSample(Group&);
     bool awaitsSharedSample(const Group&) const;
     static EndpointLinkPtr restingLink(const Endpoint&);
--- a/src/request/AdmissionQueue.cpp
+++ b/src/request/AdmissionQueue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace cassiahollow {
@@ -17,6 +18,11 @@
     // Keeps the measured service time above zero on coarse clocks.
     constexpr double minimumServiceTime = 1e-6;
 
+    // Long enough for several statements of any class, and well below the shortest time that statements wait.
+    constexpr Seconds slotsTime { 0.3 };
+    // A class may save up this many statements of its guaranteed share.
+    constexpr double guaranteedStatements = 2;
+
     ClassQueue& classQueueFor(AdmissionQueue& queue, const ClassId& name)
     {
         const auto [entry, isNew] = queue.classes_.try_emplace(name);
@@ -30,6 +36,16 @@
         return classQueue;
     }
 
+    // Follows settings_.slots_.
+    void updateExpectedSlots(AdmissionQueue& queue, TimePoint now)
+    {
+        const auto slots = static_cast<double>(queue.settings_.slots_);
+        const bool isFirst = queue.slotsAt_ == TimePoint();
+        const double kept = isFirst ? 0 : std::exp(-std::max(0.0, Seconds(now - queue.slotsAt_) / slotsTime));
+        queue.expectedSlots_ = queue.expectedSlots_ * kept + slots * (1 - kept);
+        queue.slotsAt_ = now;
+    }
+
     // Removes a waiting item from all lists.
     void unlink(AdmissionQueue& queue, AdmissionItem& item)
     {
@@ -80,6 +96,13 @@
         return found == classQueue.activeServices_.end() ? nullptr : &*found;
     }
 
+    // Asked once for each decision, because the answers may depend on the time.
+    void chooseServices(AdmissionQueue& queue, const FreeConnections& free)
+    {
+        for (auto& classQueue : queue.activeClasses_)
+            classQueue.startable_ = chooseService(classQueue, free);
+    }
+
     bool isEligible(const AdmissionQueue& queue, const ClassQueue& classQueue)
     {
         return (classQueue.settings_.urgent_ || mayStartNotUrgent(queue))
@@ -90,10 +113,9 @@
     // alternate as finely as their weights allow. A fixed quantum would serve them in bursts.
     ClassQueue* chooseClass(AdmissionQueue& queue, const FreeConnections& free)
     {
+        chooseServices(queue, free);
         double round = std::numeric_limits<double>::infinity();
         for (auto& classQueue : queue.activeClasses_) {
-            // Asked once, because the answer may depend on the time.
-            classQueue.startable_ = chooseService(classQueue, free);
             if (isEligible(queue, classQueue))
                 round = std::min(
                     round, std::max(0.0, classQueue.serviceTime_ - classQueue.deficit_) / classQueue.settings_.weight_);
@@ -117,6 +139,67 @@
         return chosen;
     }
 
+    double valuePerSecond(const ClassQueue& classQueue)
+    {
+        return classQueue.settings_.value_ / classQueue.serviceTime_;
+    }
+
+    // The item of the class that starts next, which has the earliest deadline of its service.
+    const AdmissionItem& firstItem(const ClassQueue& classQueue)
+    {
+        return classQueue.transactionItems_.empty() ? classQueue.startable_->items_.front()
+                                                    : classQueue.transactionItems_.front();
+    }
+
+    // Whether the first item of the class has to start now, and all items of more valuable classes can still wait until
+    // it has run.
+    bool mustStartNow(const AdmissionQueue& queue, const ClassQueue& classQueue, TimePoint now)
+    {
+        const auto slots = static_cast<double>(queue.settings_.slots_);
+        const double left = Seconds(firstItem(classQueue).deadline_ - now).count();
+        double work = classQueue.serviceTime_;
+        if (left > 2 * work)
+            return false;
+        double slack = std::numeric_limits<double>::infinity();
+        for (const auto& other : queue.activeClasses_) {
+            if (&other == &classQueue || !isEligible(queue, other)
+                || valuePerSecond(other) < valuePerSecond(classQueue))
+                continue;
+            work += static_cast<double>(other.waiting_) * other.serviceTime_;
+            slack = std::min(slack, Seconds(firstItem(other).deadline_ - now).count());
+        }
+        return work / slots < slack;
+    }
+
+    // The class with the most valuable second of a slot, after those that are below their guaranteed share and those
+    // whose items have to start now.
+    ClassQueue* chooseByValue(AdmissionQueue& queue, const FreeConnections& free, TimePoint now)
+    {
+        chooseServices(queue, free);
+        ClassQueue* chosen = nullptr;
+        int chosenRank = 0;
+        for (auto& classQueue : queue.activeClasses_) {
+            if (!isEligible(queue, classQueue))
+                continue;
+            const int rank = classQueue.deficit_ >= classQueue.serviceTime_ ? 2
+                : mustStartNow(queue, classQueue, now)                      ? 1
+                                                                            : 0;
+            if (!chosen || rank > chosenRank
+                || (rank == chosenRank && valuePerSecond(classQueue) > valuePerSecond(*chosen))) {
+                chosen = &classQueue;
+                chosenRank = rank;
+            }
+        }
+        if (!chosen)
+            return nullptr;
+        const double served = chosen->serviceTime_;
+        for (auto& classQueue : queue.activeClasses_)
+            classQueue.deficit_ = std::min(
+                classQueue.deficit_ + served * guaranteedShare, guaranteedStatements * classQueue.serviceTime_);
+        chosen->deficit_ = std::max(0.0, chosen->deficit_ - served);
+        return chosen;
+    }
+
     // Removes and returns the next item of the class. Statements of transactions go first, because they hold a
     // connection; then the services in round-robin order.
     AdmissionItem& takeItem(AdmissionQueue& queue, ClassQueue& classQueue)
@@ -148,6 +231,19 @@
         return static_cast<double>(ahead);
     }
 
+    // Seconds until a new item starts in AdmissionOrder::Value: the waiting items of more valuable classes go first,
+    // except for the guaranteed share. Those that may arrive meanwhile do not count: with them, statements were refused
+    // that could have started in time, and slots were idle.
+    double waitByValue(const AdmissionQueue& queue, const ClassQueue& own, double ownWork, double slots)
+    {
+        double work = ownWork;
+        for (const auto& other : queue.activeClasses_) {
+            if (&other != &own && valuePerSecond(other) >= valuePerSecond(own))
+                work += static_cast<double>(other.waiting_) * other.serviceTime_;
+        }
+        return std::min(work / slots, ownWork / (slots * guaranteedShare));
+    }
+
     // Slot time in seconds that is used before a new item starts: `ownWork` by its own class, and the share of each
     // other class that the predicate accepts.
     template <typename Predicate>
@@ -214,13 +310,15 @@
 {
     AdmissionDecision decision;
     FreeConnections free { freeConnections, mayStart };
+    updateExpectedSlots(queue, now);
     while (!queue.deadlines_.empty() && queue.deadlines_.begin()->deadline_ <= now) {
         auto& item = *queue.deadlines_.begin();
         unlink(queue, item);
         decision.refuse_.push_back({ &item, Reason::DeadlinePassed });
     }
     while (queue.running_ < queue.settings_.slots_) {
-        auto* classQueue = chooseClass(queue, free);
+        auto* classQueue = queue.settings_.order_ == AdmissionOrder::Value ? chooseByValue(queue, free, now)
+                                                                           : chooseClass(queue, free);
         if (!classQueue)
             break;
         // Read before takeItem() can remove the last item of the class.
@@ -312,11 +410,15 @@
     const auto any = [](const ClassQueue&) { return true; };
     const auto isUrgent = [](const ClassQueue& classQueue) { return classQueue.settings_.urgent_; };
 
+    // Before the first call of next() there is no smoothed value.
+    const double expected = queue.expectedSlots_ > 0 ? queue.expectedSlots_ : static_cast<double>(slots);
+    const double drained = std::max(1.0, usable == slots ? expected : expected - 1);
     const auto ownWork = countAhead(own, service, ownsConnection) * own.serviceTime_;
     // If all usable slots are busy, the first becomes free after about one service time divided by their number.
-    const auto residual
-        = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / static_cast<double>(usable) : 0;
-    auto wait = residual + workAhead(queue, own, ownWork, any) / static_cast<double>(usable);
+    const auto residual = busy >= usable || queue.running_ >= slots ? own.serviceTime_ / drained : 0;
+    if (queue.settings_.order_ == AdmissionOrder::Value)
+        return std::chrono::duration_cast<Duration>(Seconds(residual + waitByValue(queue, own, ownWork, drained)));
+    auto wait = residual + workAhead(queue, own, ownWork, any) / drained;
     // The reserved slot serves only urgent classes, so that items of other classes do not delay it.
     if (urgent && reservesSlot(queue)) {
         const auto residualReserved = queue.running_ >= slots ? own.serviceTime_ : 0;
--- a/src/request/StatementPlacement.cpp
+++ b/src/request/StatementPlacement.cpp
@@ -25,16 +25,40 @@
             -std::max(0.0, std::chrono::duration<double>(age) / std::chrono::duration<double>(estimateHalfLife)));
     }
 
+    // The expected response time, for an endpoint that is taken to respond in `fallback` without recent evidence.
+    double expectedWith(const EndpointLoad& load, TimePoint now, const ClassId& name, double fallback)
+    {
+        if (!hasResponded(load))
+            return fallback;
+        const double weight = remainingWeight(now - load.lastRespondedAt_);
+        const double unloaded = unloadedTime(load.capacity_, name);
+        if (unloaded == 0 && !name.empty() && fallback < defaultResponseSeconds)
+            return fallback;
+        const double seconds = unloaded > 0 ? unloaded + load.capacity_.waitSeconds_ : load.responseSeconds_;
+        return seconds * weight + fallback * (1 - weight);
+    }
+
+    // The response time assumed for a candidate without recent evidence for the class: that of the best of the others.
+    // Otherwise the first endpoint that has run the class, for example the primary, would keep all its statements.
+    double fallbackFor(const std::vector<PlacementCandidate>& candidates, const ClassId& name)
+    {
+        double seconds = defaultResponseSeconds;
+        for (const auto& candidate : candidates) {
+            if (const double known = unloadedTime(candidate.load_->capacity_, name); known > 0)
+                seconds = std::min(seconds, known);
+        }
+        return seconds;
+    }
+
 } // namespace
 
-void recordResponse(EndpointLoad& load, Duration response, TimePoint now)
+void recordResponse(EndpointLoad& load, Duration response, TimePoint now, const ClassId& name)
 {
     const double seconds = std::chrono::duration<double>(response).count();
     load.responseSeconds_ = expectedResponse(load, now) * (1 - responseSmoothing) + seconds * responseSmoothing;
     load.lastRespondedAt_ = now;
     load.failingSince_ = {};
-    const double change = seconds < windowResponseSeconds ? 1 / load.window_ : -load.window_ / 16;
-    load.window_ = std::clamp(load.window_ + change, smallestWindow, largestWindow);
+    learnResponse(load.capacity_, name, response, now);
 }
 
 void recordBehind(EndpointLoad& load, Duration floorAge, TimePoint now)
@@ -53,13 +77,15 @@
 void recordShed(EndpointLoad& load, TimePoint now)
 {
     load.avoidUntil_ = std::max(load.avoidUntil_, now + shedPause);
-    load.window_ = std::max(smallestWindow, load.window_ / 2);
+    learnShed(load.capacity_);
 }
 
 void recordFailure(EndpointLoad& load, TimePoint now)
 {
-    if (load.failingSince_ == TimePoint())
+    if (load.failingSince_ == TimePoint()) {
         load.failingSince_ = now;
+        learnFailure(load.capacity_);
+    }
     load.avoidUntil_ = std::max(load.avoidUntil_, now + failurePause);
 }
 
@@ -94,18 +120,20 @@
     return std::chrono::duration_cast<Duration>(lag);
 }
 
-double expectedResponse(const EndpointLoad& load, TimePoint now)
+double expectedResponse(const EndpointLoad& load, TimePoint now, const ClassId& name)
+{
+    return expectedWith(load, now, name, defaultResponseSeconds);
+}
+
+std::size_t sendLimit(const EndpointLoad& load)
 {
-    if (!hasResponded(load))
-        return defaultResponseSeconds;
-    const double weight = remainingWeight(now - load.lastRespondedAt_);
-    return load.responseSeconds_ * weight + defaultResponseSeconds * (1 - weight);
+    return static_cast<std::size_t>(load.capacity_.limit_);
 }
 
 std::size_t sendCapacity(const EndpointLoad& load, std::size_t idleConnections)
 {
-    const auto window = static_cast<std::size_t>(load.window_);
-    return window > load.inFlight_ ? std::min(idleConnections, window - load.inFlight_) : 0;
+    const auto limit = sendLimit(load);
+    return limit > load.inFlight_ ? std::min(idleConnections, limit - load.inFlight_) : 0;
 }
 
 bool hasCaughtUpReplica(const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
@@ -116,15 +144,16 @@
 }
 
 std::optional<std::size_t> placeRead(
-    const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now)
+    const std::vector<PlacementCandidate>& candidates, Duration floorAge, TimePoint now, const ClassId& name)
 {
     const PlacementCandidate* best = nullptr;
     double bestSeconds = 0;
+    const double fallback = fallbackFor(candidates, name);
     for (const auto& candidate : candidates) {
         const auto& load = *candidate.load_;
         const double share
             = static_cast<double>(load.inFlight_ + 1) / static_cast<double>(std::max<std::size_t>(candidate.slots_, 1));
-        double seconds = expectedResponse(load, now) * std::max(1.0, share);
+        double seconds = expectedWith(load, now, name, fallback) * std::max(1.0, share);
         seconds += candidate.isPrimary_ ? primaryPenaltySeconds : 0;
         seconds += candidate.isLocal_ ? 0 : remotePenaltySeconds;
         seconds += candidate.needsConnection_ ? newConnectionSeconds : 0;
@@ -159,7 +188,12 @@
 double queueWeight(const Route& route)
 {
     const double perSecond = 1 / std::max(0.01, std::chrono::duration<double>(route.objective_).count());
-    return std::exp2(-std::clamp(route.priority_, 0, 6)) * perSecond * perSecond;
+    return statementValue(route) * perSecond * perSecond;
+}
+
+double statementValue(const Route& route)
+{
+    return std::exp2(-std::clamp(route.priority_, 0, 6));
 }
 
 std::chrono::milliseconds retryAfter(std::size_t waiting, double responseSeconds, bool waitsForPrimary)
