--- a/tests/AccountQuotaTest.cpp
+++ b/tests/AccountQuotaTest.cpp
@@ -364,7 +364,7 @@
     fixture.now_ += 51ms;
     wakeQuotas(fixture.state_, fixture.now_, fixture.actions_);
     auto grants = fixture.sent<QuotaGrant>();
-    REQUIRE(grants.size() >= 1);
+    REQUIRE_FALSE(grants.empty());
     CHECK(grants.front().number_ == 1);
     CHECK(grants.front().tokens_ == 1);
 }
