Do less for each forwarded statement and for each connection in use

holderFor() copied the holders of the group for each statement, also where there are no accounts, because the two sides of its conditional expression differed in kind. closeSpareLinks() looked up the account of every connection among all accounts before it looked whether the connection was in use or had rested long enough. Behaviour is the same; HolderTest, AccountHolderTest, GatewayTest and AccountTest pass. Not measured.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -656,8 +656,9 @@
         const auto rest = !group.isHeld_ ? spareLinkTime : group.usesAccounts_ ? accountLinkTime : heldLinkTime;
         for (std::size_t i = links.size(); i > kept; --i) {
             const auto link = links[i - 1];
-            const bool rests = now - link->used_ >= rest || !isAccountKnown(link->account());
-            if (!link->isReady() || link->taken_ || !rests)
+            if (!link->isReady() || link->taken_)
+                continue;
+            if (now - link->used_ < rest && isAccountKnown(link->account()))
                 continue;
             link->close();
             links.erase(links.begin() + static_cast<std::ptrdiff_t>(i - 1));
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -141,7 +141,10 @@
     if (job.session_->peer_ || !mayForward || job.triedHolders_.size() >= maximumForwards)
         return nullptr;
     const auto now = suspendAwareNow();
-    for (const auto& id : account.empty() ? group.holders_ : holderOrder(assignment_, group.id_, account)) {
+    std::vector<InstanceId> ofAccount;
+    if (!account.empty())
+        ofAccount = holderOrder(assignment_, group.id_, account);
+    for (const auto& id : account.empty() ? group.holders_ : ofAccount) {
         if (id == options_.self_ && group.isHeld_)
             return nullptr;
         if (id == options_.self_ || job.triedHolders_.contains(id))
