Log what a stop of an entry instance leaves unanswered and unsent

A client that reports a connection without an answer could not be told from one whose network failed: `stopped` had the number of sessions only. The hypotheses of the incident differ in what is left behind, so `stopped` now has the statements without an answer (a line each, with its id) and the bytes that no socket has taken, and a session that is closed with input that was read and not handled is logged and counted.

No logic is changed.

--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -426,6 +426,14 @@
     return {};
 }
 
+std::size_t LineListener::queuedBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& channel : channels_)
+        bytes += channel.queuedBytes();
+    return bytes;
+}
+
 int LineListener::adopt(lws* wsi)
 {
     auto& memory = loop_.memory();
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -56,6 +56,10 @@
 
     bool isOpen() const { return open_; }
     std::size_t queuedBytes() const { return outgoing_.size() - sent_; }
+    /// Bytes were read that the owner has not taken.
+    bool hasInput() const { return incoming_.size() > taken_; }
+    /// This instance ends the connection: closeWhenSent() was called.
+    bool isClosing() const { return closing_; }
 
 private:
     friend class LineSockets;
@@ -137,6 +141,8 @@
     /// Errors: the address is not free or not valid.
     boost::leaf::result<void> start();
     std::size_t openConnections() const { return openConnections_; }
+    /// Bytes that the sockets of all connections have not taken yet.
+    std::size_t queuedBytes() const;
 
 private:
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -112,9 +112,14 @@
 void GatewayTask::run()
 {
     loop_.run();
+    const auto unanswered = gateway_.reportUnanswered();
+    const auto unsent = clients_.queuedBytes() + (forwards_ ? forwards_->queuedBytes() : 0);
     LogLine(LogKind::Lifecycle, "stopped")
         .with("role", "entry")
-        .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()));
+        .with("after", shuttingDown_ ? Clock::now() - shutdownBegan_ : Duration::zero())
+        .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()))
+        .with("unanswered", static_cast<std::uint64_t>(unanswered))
+        .with("unsent_bytes", static_cast<std::uint64_t>(unsent));
 }
 
 void GatewayTask::receiveAll()
@@ -130,7 +135,8 @@
     LogLine(LogKind::Lifecycle, "stopping")
         .with("role", "entry")
         .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()));
-    shutdownEnd_ = Clock::now() + settings_.shutdown_ - shutdownMargin;
+    shutdownBegan_ = Clock::now();
+    shutdownEnd_ = shutdownBegan_ + settings_.shutdown_ - shutdownMargin;
     gateway_.beginShutdown(settings_.shutdown_ / 2);
     askNow();
     loop_.schedule(Clock::now() + shutdownLeast, [this] { finishShutdown(); });
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -77,6 +77,7 @@
     bool shuttingDown_ { false };
     Readiness readiness_ { Readiness::Starting };
     TimePoint readinessSince_;
+    TimePoint shutdownBegan_;
     TimePoint shutdownEnd_;
     bool shutdownOver_ { false };
 };
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -57,7 +57,16 @@
     sessions_.insert(session);
     channel->setHandlers({ .opened_ = {},
         .received_ = [this, session](std::string_view bytes) { return receive(session, bytes); },
-        .closed_ = [this, session] { sessionClosed(session); } });
+        .closed_ = [this, session] { channelClosed(session); } });
+}
+
+void StatementGateway::channelClosed(const SessionPtr& session)
+{
+    if (session->channel_->isClosing() && session->channel_->hasInput()) {
+        metrics_.add(CounterId::ClosedWithInput);
+        LogLine(LogKind::Uncertain, "closed_with_input").with("previous", session->lastRequest_);
+    }
+    sessionClosed(session);
 }
 
 std::size_t StatementGateway::receive(const SessionPtr& session, std::string_view bytes)
@@ -453,6 +462,22 @@
         peer->channel_->send(encodeHolderMessage(HolderLeaving {}));
 }
 
+std::size_t StatementGateway::reportUnanswered() const
+{
+    std::size_t count = 0;
+    for (const auto& session : sessions_) {
+        const auto& job = session->job_;
+        if (!job || job->isDone_)
+            continue;
+        ++count;
+        LogLine(LogKind::Uncertain, "unanswered")
+            .with("request", job->id_)
+            .with("waited", suspendAwareNow() - job->arrived_)
+            .with("attempt", static_cast<std::uint64_t>(job->attempts_));
+    }
+    return count;
+}
+
 void StatementGateway::closeResting()
 {
     const bool isLate = shuttingDown_ && suspendAwareNow() > transactionsEnd_;
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -102,6 +102,8 @@
     void beginShutdown(std::chrono::milliseconds transactionTime);
     /// Sessions of clients, and operations of other instances.
     std::size_t sessions() const { return sessions_.size(); }
+    /// Writes a log line for each statement without an answer, and returns their number. For the end of the process.
+    std::size_t reportUnanswered() const;
     std::size_t heldGroups() const;
     std::size_t forwardedStatements() const;
     /// What this instance has learned of the endpoints that have answered it; all 0 if none has.
@@ -127,6 +129,7 @@
 
     // Sessions.
     std::size_t receive(const SessionPtr&, std::string_view);
+    void channelClosed(const SessionPtr&);
     void handle(const SessionPtr&, platform::ClientStart);
     void begin(const SessionPtr&, const std::string& database);
     void handle(const SessionPtr&, platform::ClientQuery);
--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -48,6 +48,7 @@
     QuotaRequests,
     QuotaTokensGranted,
     QuotaTokensLent,
+    ClosedWithInput,
     Count
 };
 
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -45,6 +45,8 @@
         { "quota_requests_total", "Requests for tokens of quotas sent to other instances." },
         { "quota_tokens_granted_total", "Tokens of quotas granted to other instances." },
         { "quota_tokens_lent_total", "Tokens of quotas lent to other data centres." },
+        { "closed_with_input_total",
+            "Clients' connections that were closed with input that was read and not handled." },
     } };
 
     double seconds(Duration duration)
