Serve a statement that arrives before its session is closed

What callers saw: around a SIGTERM of an entry instance, a session's connection ended and its statement had no answer (LOST).

Cause: a session that rests, or whose operation has ended, counted as gone as soon as its close was decided. The connection was closed a turn of the loop later, or when its last answer was sent; what it read until then was kept and never looked at. When the turn takes long, as with a large catalog on a tenth of a core, the statement had waited for longer than the slack of the rule. Unread bytes reset the connection.

Evidence: the new case of GatewayTest holds the loop up for 400 ms.

The session now lives until its connection is closed, looks at what was sent a last time before that, and goes on with a statement that has arrived. The close is decided again after its answer.

--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/HttpListener.h"
 
+#include <array>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -301,10 +302,21 @@
     updateReading();
 }
 
+// Closing a socket with unread bytes resets the connection: the other end loses what it has sent, and maybe the last
+// answer.
+int LineChannel::closeUnlessInput()
+{
+    std::array<char, readAheadBytes> buffer;
+    const auto size = ::recv(lws_get_socket_fd(connection_.wsi_), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size > 0 && receive({ buffer.data(), static_cast<std::size_t>(size) }) != 0)
+        return -1;
+    return closing_ && outgoing_.empty() ? -1 : 0;
+}
+
 int LineChannel::write()
 {
     if (outgoing_.empty())
-        return closing_ ? -1 : 0;
+        return closing_ ? closeUnlessInput() : 0;
     const auto left = queuedBytes();
     if (!memory_ && left > maximumQueuedBytes)
         return -1;
--- a/daemon/connection/LineChannel.h
+++ b/daemon/connection/LineChannel.h
@@ -40,8 +40,10 @@
     void close();
     /// Tells the other end that nothing more is sent, without waiting for the next turn of the loop as close() does.
     void shutDown();
-    /// Closes once all queued bytes are sent.
+    /// Closes once all queued bytes are sent. What arrives before is offered to the owner, who may go on.
     void closeWhenSent();
+    /// Takes closeWhenSent() back.
+    void keepOpen() { closing_ = false; }
 
     /// Offers again what the owner has not taken. Has no effect within received_, which goes on by itself.
     void offer();
@@ -70,6 +72,7 @@
     int finishEvent(int result);
     int receive(std::string_view);
     int write();
+    int closeUnlessInput();
     int opened();
     void openedLate();
     void setSocketTimeouts();
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -47,6 +47,7 @@
     AccountId account_; ///< As of the session's last operation; empty without accounts and on public routes.
     bool isRevoked_ { false }; ///< Its key was removed: the session ends with its statement or transaction.
     bool busy_ { false }; ///< A statement is under way; the next one waits in the channel.
+    bool isClosing_ { false }; ///< It is closed once its answers are sent, unless a statement arrives before.
     bool closed_ { false };
     bool wrote_ { false }; ///< The open transaction has sent a write.
     bool aborted_ { false }; ///< The transaction was ended here; the client learns it with its next statement.
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -77,6 +77,8 @@
         if (!line)
             break;
         session->used_ = suspendAwareNow();
+        if (std::exchange(session->isClosing_, false))
+            session->channel_->keepOpen();
         auto message = platform::decodeClientLine(*line);
         if (auto* start = std::get_if<platform::ClientStart>(&message)) {
             handle(session, std::move(*start));
@@ -220,10 +222,8 @@
 void StatementGateway::endRevoked(const SessionPtr& session)
 {
     auto& sql = session->sql_;
-    if (sql.transaction_ == TransactionState::None) {
-        session->channel_->closeWhenSent();
-        return sessionClosed(session);
-    }
+    if (sql.transaction_ == TransactionState::None)
+        return closeSession(session);
     release(session, true);
     sql.transaction_ = TransactionState::Failed;
     session->aborted_ = true;
@@ -411,10 +411,16 @@
         return;
     if (session->isRevoked_)
         return endRevoked(session);
-    if (!shuttingDown_ || session->sql_.transaction_ != TransactionState::None)
-        return;
+    if (shuttingDown_ && session->sql_.transaction_ == TransactionState::None)
+        closeSession(session);
+}
+
+// Closes a session that waits for its client's next statement. One that arrives before the connection closes is still
+// served.
+void StatementGateway::closeSession(const SessionPtr& session)
+{
+    session->isClosing_ = true;
     session->channel_->closeWhenSent();
-    sessionClosed(session);
 }
 
 void StatementGateway::endIdleTransactions()
@@ -442,10 +448,8 @@
             endedPeers.push_back(session);
     }
     // Their transactions were rolled back, and no next statement came.
-    for (const auto& session : endedRevoked) {
-        session->channel_->closeWhenSent();
-        sessionClosed(session);
-    }
+    for (const auto& session : endedRevoked)
+        closeSession(session);
     // The peer learns it with its next statement, whose operation is not known then.
     for (const auto& session : endedPeers) {
         session->peer_->operations_.erase(session->operation_);
@@ -484,13 +488,12 @@
     std::vector<SessionPtr> resting;
     for (const auto& session : sessions_) {
         const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
-        if (session->channel_ && !session->busy_ && ended && resting.size() < closedPerTick)
+        const bool isResting = session->channel_ && !session->busy_ && !session->isClosing_;
+        if (isResting && ended && resting.size() < closedPerTick)
             resting.push_back(session);
     }
-    for (const auto& session : resting) {
-        session->channel_->closeWhenSent();
-        sessionClosed(session);
-    }
+    for (const auto& session : resting)
+        closeSession(session);
 }
 
 void StatementGateway::tick()
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -130,6 +130,7 @@
     // Sessions.
     std::size_t receive(const SessionPtr&, std::string_view);
     void channelClosed(const SessionPtr&);
+    void closeSession(const SessionPtr&);
     void handle(const SessionPtr&, platform::ClientStart);
     void begin(const SessionPtr&, const std::string& database);
     void handle(const SessionPtr&, platform::ClientQuery);
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -3,6 +3,7 @@
 #include "support/GatewayHarness.h"
 
 #include <catch2/catch.hpp>
+#include <future>
 
 using namespace cassiahollow;
 using namespace cassiahollow::testing;
@@ -386,6 +387,30 @@
     CHECK(harness.group().commits().size() == 1);
 }
 
+// Guards against a shutdown that reads a statement and closes its session without an answer.
+TEST_CASE("a statement that arrives before its resting session is closed is answered")
+{
+    GatewayHarness harness;
+    const auto client = harness.client("verdicts");
+    REQUIRE(isDone(client->query("READ item")));
+    std::atomic<bool> hasBegun { false };
+    // The loop is held up, as a small share of a core is by a large catalog.
+    auto stall = std::async(std::launch::async, [&] {
+        harness.onGateway([&](StatementGateway& gateway) {
+            gateway.beginShutdown(2s);
+            hasBegun = true;
+            std::this_thread::sleep_for(400ms);
+        });
+    });
+    REQUIRE(waitFor([&] { return hasBegun.load(); }));
+    client->send("QUERY late READ item\r\n");
+    const auto answer = client->receive(3s);
+    stall.get();
+    CHECK(answer.mark_ != '?');
+    CHECK((isDone(answer) || answer.error_ == "BUSY"));
+    CHECK(client->isClosed(2s));
+}
+
 // Replays "all machines start at once" with more instances than connections: each read would open one to the primary.
 TEST_CASE("while connections are scarce a new instance waits for the samples of control members")
 {
