End an entry instance once its answers are sent

What callers saw: an answer that was ready was cut off when the entry instance exited after a SIGTERM (LOST): the statement had run.

Cause: the stop ended when no session was left, and a session was gone as soon as its last answer was queued. On a full link the socket had not taken it yet, and the process exited 50 ms later. The same holds for replies to other instances, whose clients then get an uncertain answer.

Evidence: the new case of NodeTest reads an answer of 900 KB 4 s after the SIGTERM.

The process now ends when every client's connection is closed and no bytes are queued for another instance, at the latest at its deadline.

--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -113,13 +113,17 @@
 {
     loop_.run();
     const auto unanswered = gateway_.reportUnanswered();
-    const auto unsent = clients_.queuedBytes() + (forwards_ ? forwards_->queuedBytes() : 0);
     LogLine(LogKind::Lifecycle, "stopped")
         .with("role", "entry")
         .with("after", shuttingDown_ ? Clock::now() - shutdownBegan_ : Duration::zero())
         .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()))
         .with("unanswered", static_cast<std::uint64_t>(unanswered))
-        .with("unsent_bytes", static_cast<std::uint64_t>(unsent));
+        .with("unsent_bytes", static_cast<std::uint64_t>(unsentBytes()));
+}
+
+std::size_t GatewayTask::unsentBytes() const
+{
+    return clients_.queuedBytes() + (forwards_ ? forwards_->queuedBytes() : 0);
 }
 
 void GatewayTask::receiveAll()
@@ -144,9 +148,10 @@
 
 void GatewayTask::finishShutdown()
 {
-    // The last answers are on their way while the loop runs one more interval.
-    const bool isOver = gateway_.sessions() == 0 || Clock::now() >= shutdownEnd_;
-    if (isOver && std::exchange(shutdownOver_, true))
+    const bool isAnswered = gateway_.sessions() == 0 && clients_.openConnections() == 0 && unsentBytes() == 0;
+    // Connections that opened meanwhile are seen in one more interval.
+    const bool isOver = isAnswered || Clock::now() >= shutdownEnd_;
+    if (std::exchange(shutdownOver_, isOver) && isOver)
         return loop_.stop();
     loop_.schedule(Clock::now() + shutdownCheck, [this] { finishShutdown(); });
 }
--- a/daemon/process/GatewayTask.h
+++ b/daemon/process/GatewayTask.h
@@ -54,6 +54,7 @@
     Readiness readiness() const;
     void updateReadiness();
     void finishShutdown();
+    std::size_t unsentBytes() const; ///< Of answers to clients and other instances.
 
     NodeSettings settings_;
     EventLoop loop_;
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -1,7 +1,9 @@
 #include "process/DirectoryStore.h"
 #include "support/NodeDeployment.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <future>
 
 using namespace cassiahollow;
 using namespace cassiahollow::testing;
@@ -178,6 +180,31 @@
     CHECK(deployment.group().commits().back().items_.count("item") == 1);
 }
 
+// Guards against a stop that ends while answers wait for their clients to read them.
+TEST_CASE("an entry instance that is told to stop delivers answers that are read late")
+{
+    // With a memory limit, the system holds little of an answer.
+    NodeDeployment deployment(3, 1, { .memoryMb_ = 160, .shutdown_ = 10s });
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    auto& entry = deployment.entries()[0];
+    LineClient client(entry.address_);
+    REQUIRE(client.start("receipts").mark_ == 'I');
+    const std::string value(900000, 'v');
+    REQUIRE(isDone(client.query("WRITE large " + value)));
+    client.send("QUERY late READ large\r\n");
+    REQUIRE(waitFor([&] { return deployment.hasRun("late"); }, 2s));
+    entry.process_->terminate();
+    // Longer than a stop takes without sessions, and far shorter than it may take.
+    std::this_thread::sleep_for(4s);
+    const auto answer = client.receive(5s);
+    CHECK(answer.mark_ == 'I');
+    CHECK(answer.rows_ == std::vector { value });
+    CHECK(waitFor([&] { return !entry.process_->isRunning(); }, 4s));
+    CHECK(entry.process_->exitStatus() == 0);
+}
+
 // Guards against two primaries at once: part of the instances and all control members lose the primary, the others go
 // on with it, and the authority does not stop it when it promotes another one.
 TEST_CASE("no commit is acknowledged by a primary that has a successor, where the authority checks no fences")
--- a/tests/integration/support/NodeDeployment.cpp
+++ b/tests/integration/support/NodeDeployment.cpp
@@ -2,6 +2,7 @@
 
 #include "Ports.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -116,7 +117,7 @@
         std::ofstream(file) << "instance: " << name << "\ndata_centre: a\nlisten: {" << listen << ", peers: \""
                             << node.host_ << ":" << peerPort << "\"}\nseeds: [" << seeds
                             << "]\ndeployment_key: integration-deployment-key\nauthority: \"" << authority_
-                            << "\"\nheartbeat_ms: 200\nshutdown_ms: 4000\n"
+                            << "\"\nheartbeat_ms: 200\nshutdown_ms: " << options_.shutdown_.count() << '\n'
                             << (options_.checksFences_ ? "" : "authority_checks_fences: false\n")
                             << "memory_mb: " << options_.memoryMb_ << '\n'
                             << more;
@@ -220,8 +221,15 @@
     return promotions_;
 }
 
-bool NodeDeployment::configure(
-    std::uint64_t version, const std::vector<std::string>& databases, std::chrono::milliseconds limit)
+bool NodeDeployment::hasRun(const std::string& id) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& server) {
+        const auto ran = server->ran();
+        return std::any_of(ran.begin(), ran.end(), [&](const auto& statement) { return statement.query_ == id; });
+    });
+}
+
+std::string NodeDeployment::document(std::uint64_t version, const std::vector<std::string>& databases) const
 {
     json document { { "Version", version }, { "Routes", json::array() },
         { "Services",
@@ -229,17 +237,24 @@
                 { { { "Name", "returns" }, { "MaxConns", options_.connectionLimit_ }, { "SyncReplicas", 0 } } }) } };
     for (const auto& database : databases) {
         document["Routes"].push_back({ { "Name", "r-" + database }, { "Host", database }, { "PathPrefix", "/" },
-            { "Type", "read_your_writes" }, { "TimeoutMs", 1000 }, { "TargetLatencyMs", 500 }, { "Priority", 1 },
-            { "Service", "returns" }, { "MaxStalenessMs", 2500 } });
+            { "Type", "read_your_writes" }, { "TimeoutMs", options_.statementTimeout_.count() },
+            { "TargetLatencyMs", 500 }, { "Priority", 1 }, { "Service", "returns" }, { "MaxStalenessMs", 2500 } });
     }
     if (options_.accounts_) {
         document["Tenants"] = json::array();
         for (const auto& [name, keys] : *options_.accounts_)
             document["Tenants"].push_back({ { "Name", name }, { "ApiKeys", keys } });
     }
+    return document.dump();
+}
+
+bool NodeDeployment::configure(
+    std::uint64_t version, const std::vector<std::string>& databases, std::chrono::milliseconds limit)
+{
+    const auto text = document(version, databases);
     const auto end = Clock::now() + limit;
     for (std::size_t i = 0; Clock::now() < end; ++i) {
-        if (callNode("PUT", controls_[i % controls_.size()].address_, "/api/config", document.dump()).status_ == 200)
+        if (callNode("PUT", controls_[i % controls_.size()].address_, "/api/config", text).status_ == 200)
             return true;
         std::this_thread::sleep_for(20ms);
     }
--- a/tests/integration/support/NodeDeployment.h
+++ b/tests/integration/support/NodeDeployment.h
@@ -49,6 +49,8 @@
         /// Names and keys of client accounts; nothing for a configuration without accounts.
         std::optional<std::map<std::string, std::vector<std::string>>> accounts_ {};
         std::size_t memoryMb_ { 0 }; ///< Of the machine of each instance.
+        std::chrono::milliseconds shutdown_ { 4000 }; ///< From the signal to the forced end.
+        std::chrono::milliseconds statementTimeout_ { 1000 };
     };
 
     NodeDeployment(std::size_t controls, std::size_t entries);
@@ -66,6 +68,11 @@
     void setLeaving(std::size_t server);
     std::vector<Promotion> promotions() const;
 
+    /// Whether a client's statement with this id ran on a database.
+    bool hasRun(const std::string& id) const;
+
+    /// A configuration with these databases as routes, as operators send it.
+    std::string document(std::uint64_t version, const std::vector<std::string>& databases) const;
     /// Sends a configuration with these databases as routes to all control members in turn until one acknowledges it.
     bool configure(std::uint64_t version, const std::vector<std::string>& databases, std::chrono::milliseconds limit);
     /// The version that a control member reads back, or 0.
