Answer what still runs before an entry instance stops

What callers saw: a statement that ran or waited when the time of a stop was over got no answer, so its client did not know whether a write was kept (LOST).

Cause: the stop had one end. At it, the process exited with statements open, and until then it began new ones, whatever time was left.

Evidence: the new cases of NodeTest and GatewayTest. On the code before, a write at a slow database got no answer and the connection ended 3.3 s after the SIGTERM of an instance that may take 4 s.

Statements are now given up 350 ms before the process exits, at the time at which it exited until now: what was not sent is refused as not run, the rest is in doubt. An operation that cannot reach its objective before that, and a transaction after its share of the stop, are refused at once, so that the client uses another instance.

--- a/daemon/process/GatewayTask.cpp
+++ b/daemon/process/GatewayTask.cpp
@@ -27,8 +27,10 @@
     constexpr std::size_t maximumOpenRequests = 16;
     // Files of listeners, the peer sockets and the loop itself, and connections to endpoints.
     constexpr std::size_t reservedFiles = 400;
-    // The time before the forced end that is left for the process to end by itself.
+    // The time before the forced end at which statements without an answer are given up.
     constexpr auto shutdownMargin = 700ms;
+    // The time before the forced end that is left for the process to end by itself. Until then, answers are sent.
+    constexpr auto exitMargin = 350ms;
     constexpr auto shutdownCheck = 50ms;
     // The platform notices after two questions; until then new sessions arrive and are served.
     constexpr auto shutdownLeast = 2500ms;
@@ -140,8 +142,8 @@
         .with("role", "entry")
         .with("sessions", static_cast<std::uint64_t>(gateway_.sessions()));
     shutdownBegan_ = Clock::now();
-    shutdownEnd_ = shutdownBegan_ + settings_.shutdown_ - shutdownMargin;
-    gateway_.beginShutdown(settings_.shutdown_ / 2);
+    shutdownEnd_ = shutdownBegan_ + settings_.shutdown_ - exitMargin;
+    gateway_.beginShutdown(settings_.shutdown_ / 2, settings_.shutdown_ - shutdownMargin);
     askNow();
     loop_.schedule(Clock::now() + shutdownLeast, [this] { finishShutdown(); });
 }
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -76,6 +76,10 @@
     }
     if (!isKnown && !begins)
         return refusePeer(peer, request.number_, StatementError::Aborted, "the transaction was ended");
+    if (!isKnown && isTooLateToBegin(request.route_, request.opensTransaction_)) {
+        metrics_.count(Reason::ShuttingDown);
+        return refusePeer(peer, request.number_, StatementError::Overloaded, stoppingText);
+    }
     if (!isKnown && peer->operations_.size() >= maximumOperations) {
         metrics_.count(Reason::QueueFull);
         return refusePeer(peer, request.number_, StatementError::Overloaded, "not run, too many operations");
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -7,6 +7,9 @@
 // The state behind a StatementGateway; private to its sources.
 namespace cassiahollow {
 
+/// With a refusal because of a shutdown.
+inline constexpr std::string_view stoppingText = "not run, this instance stops; use another one";
+
 /// A connection to another instance that runs statements of this instance's clients.
 struct StatementGateway::Holder : boost::intrusive_ref_counter<Holder, boost::thread_unsafe_counter> {
     InstanceId id_;
--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -286,6 +286,8 @@
     auto& sql = session->sql_;
     if (sql.transaction_ != TransactionState::None)
         return refuse(session, StatementError::Malformed, "a transaction is open");
+    if (isTooLateToBegin(*session->route_, true))
+        return refuseForShutdown(session);
     sql.transaction_ = TransactionState::Deferred;
     sql.readOnly_ = readOnly;
     sql.startedAt_ = suspendAwareNow();
@@ -314,6 +316,9 @@
 void StatementGateway::runStatement(const SessionPtr& session, std::string id, const Statement& statement)
 {
     auto& sql = session->sql_;
+    const bool begins = sql.transaction_ != TransactionState::Open && statement.kind_ != StatementKind::Commit;
+    if (begins && isTooLateToBegin(*session->route_, sql.transaction_ == TransactionState::Deferred))
+        return refuseForShutdown(session);
     const JobPtr job(new Job);
     job->session_ = session;
     job->id_ = std::move(id);
@@ -457,15 +462,58 @@
     }
 }
 
-void StatementGateway::beginShutdown(std::chrono::milliseconds transactionTime)
+void StatementGateway::beginShutdown(std::chrono::milliseconds transactionTime, std::chrono::milliseconds answerTime)
 {
     shuttingDown_ = true;
-    transactionsEnd_ = suspendAwareNow() + transactionTime;
+    const auto now = suspendAwareNow();
+    transactionsEnd_ = now + transactionTime;
+    answersEnd_ = now + answerTime;
     giveUpQuotas();
     for (const auto& peer : peers_)
         peer->channel_->send(encodeHolderMessage(HolderLeaving {}));
 }
 
+// Whether a shutdown leaves too little time for an operation that begins now.
+bool StatementGateway::isTooLateToBegin(const Route& route, bool opensTransaction) const
+{
+    if (!shuttingDown_)
+        return false;
+    const auto now = suspendAwareNow();
+    return now + route.objective_ > answersEnd_ || (opensTransaction && now > transactionsEnd_);
+}
+
+void StatementGateway::refuseForShutdown(const SessionPtr& session)
+{
+    metrics_.count(Reason::ShuttingDown);
+    refuse(session, StatementError::Overloaded, stoppingText);
+}
+
+// Ends the statements without an answer: what was not sent is refused as not run, the rest is in doubt.
+void StatementGateway::giveUpStatements()
+{
+    std::vector<JobPtr> open;
+    std::vector<SessionPtr> held;
+    for (const auto& session : sessions_) {
+        if (session->job_)
+            open.push_back(session->job_);
+        else if (session->heldDatabase_)
+            held.push_back(session);
+    }
+    if (!open.empty()) {
+        LogLine(LogKind::Lifecycle, "statements_given_up")
+            .with("role", "entry")
+            .with("statements", static_cast<std::uint64_t>(open.size()));
+    }
+    for (const auto& job : open)
+        timedOut(job);
+    for (const auto& session : held) {
+        metrics_.count(Reason::ShuttingDown);
+        session->channel_->send(platform::encodeError(StatementError::Overloaded, stoppingText));
+        session->channel_->closeWhenSent();
+        sessionClosed(session);
+    }
+}
+
 std::size_t StatementGateway::reportUnanswered() const
 {
     std::size_t count = 0;
@@ -484,12 +532,14 @@
 
 void StatementGateway::closeResting()
 {
-    const bool isLate = shuttingDown_ && suspendAwareNow() > transactionsEnd_;
+    const auto now = suspendAwareNow();
+    const bool isLate = shuttingDown_ && now > transactionsEnd_;
+    const auto most = shuttingDown_ && now > answersEnd_ ? sessions_.size() : closedPerTick;
     std::vector<SessionPtr> resting;
     for (const auto& session : sessions_) {
         const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
         const bool isResting = session->channel_ && !session->busy_ && !session->isClosing_;
-        if (isResting && ended && resting.size() < closedPerTick)
+        if (isResting && ended && resting.size() < most)
             resting.push_back(session);
     }
     for (const auto& session : resting)
@@ -499,6 +549,8 @@
 void StatementGateway::tick()
 {
     endIdleTransactions();
+    if (shuttingDown_ && suspendAwareNow() > answersEnd_)
+        giveUpStatements();
     if (shuttingDown_ || sendAway_)
         closeResting();
     if (options_.needsLeases_)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -98,8 +98,8 @@
     void setIsolated(bool isolated, bool sendAway);
 
     /// Sessions that rest are closed one after the other, the others when their operation ends. Transactions that are
-    /// open after `transactionTime` are ended.
-    void beginShutdown(std::chrono::milliseconds transactionTime);
+    /// open after `transactionTime` are ended, statements without an answer after `answerTime`.
+    void beginShutdown(std::chrono::milliseconds transactionTime, std::chrono::milliseconds answerTime);
     /// Sessions of clients, and operations of other instances.
     std::size_t sessions() const { return sessions_.size(); }
     /// Writes a log line for each statement without an answer, and returns their number. For the end of the process.
@@ -131,6 +131,9 @@
     std::size_t receive(const SessionPtr&, std::string_view);
     void channelClosed(const SessionPtr&);
     void closeSession(const SessionPtr&);
+    void giveUpStatements();
+    void refuseForShutdown(const SessionPtr&);
+    bool isTooLateToBegin(const Route&, bool opensTransaction) const;
     void handle(const SessionPtr&, platform::ClientStart);
     void begin(const SessionPtr&, const std::string& database);
     void handle(const SessionPtr&, platform::ClientQuery);
@@ -325,7 +328,8 @@
     bool isolated_ { false };
     bool sendAway_ { false };
     std::uint64_t ticks_ { 0 };
-    TimePoint transactionsEnd_;
+    TimePoint transactionsEnd_; ///< Of a shutdown.
+    TimePoint answersEnd_; ///< Of a shutdown.
 };
 
 } // namespace cassiahollow
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -379,7 +379,7 @@
     REQUIRE(isDone(resting->query("READ item")));
     REQUIRE(isDone(working->query("BEGIN")));
     REQUIRE(isDone(working->query("WRITE item kept")));
-    harness.onGateway([](StatementGateway& gateway) { gateway.beginShutdown(2s); });
+    harness.onGateway([](StatementGateway& gateway) { gateway.beginShutdown(2s, 4s); });
     CHECK(resting->isClosed(2s));
     std::this_thread::sleep_for(300ms);
     CHECK(isDone(working->query("COMMIT")));
@@ -397,7 +397,7 @@
     // The loop is held up, as a small share of a core is by a large catalog.
     auto stall = std::async(std::launch::async, [&] {
         harness.onGateway([&](StatementGateway& gateway) {
-            gateway.beginShutdown(2s);
+            gateway.beginShutdown(2s, 4s);
             hasBegun = true;
             std::this_thread::sleep_for(400ms);
         });
@@ -411,6 +411,39 @@
     CHECK(client->isClosed(2s));
 }
 
+// Guards against a shutdown that begins what it cannot end, or ends without an answer to what it has begun.
+TEST_CASE("a shutdown refuses what begins too late and gives up what has no answer")
+{
+    GatewayHarness harness;
+    const auto writer = harness.client("verdicts");
+    const auto reader = harness.client("audits");
+    REQUIRE(isDone(writer->query("WRITE item x")));
+    REQUIRE(waitFor([&] { return isDone(reader->query("READ item")); }));
+    for (std::size_t i = 0; i < harness.servers(); ++i)
+        harness.server(i).faults().delayMs_ = 600;
+    writer->send("QUERY write WRITE item y\r\n");
+    reader->send("QUERY read READ item\r\n");
+    REQUIRE(waitFor([&] { return harness.runsOf("write") == 1 && harness.runsOf("read") == 1; }));
+    harness.onGateway([](StatementGateway& gateway) { gateway.beginShutdown(50ms, 400ms); });
+    std::this_thread::sleep_for(150ms);
+    // The objective of the routes is 300 ms.
+    LineClient late(harness.address());
+    late.send("STARTUP verdicts client\r\nQUERY late READ item\r\n");
+    CHECK(late.receive().mark_ == 'I');
+    CHECK(late.receive().error_ == "BUSY");
+    LineClient opening(harness.address());
+    opening.send("STARTUP verdicts client\r\nQUERY begin BEGIN\r\n");
+    CHECK(opening.receive().mark_ == 'I');
+    CHECK(opening.receive().error_ == "BUSY");
+    CHECK(writer->receive().error_ == "INDOUBT");
+    CHECK(reader->receive().error_ == "TIMEOUT");
+    CHECK(writer->isClosed(2s));
+    CHECK(reader->isClosed(2s));
+    std::size_t sessions = 1;
+    harness.onGateway([&](StatementGateway& gateway) { sessions = gateway.sessions(); });
+    CHECK(sessions == 0);
+}
+
 // Replays "all machines start at once" with more instances than connections: each read would open one to the primary.
 TEST_CASE("while connections are scarce a new instance waits for the samples of control members")
 {
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -205,6 +205,28 @@
     CHECK(entry.process_->exitStatus() == 0);
 }
 
+// Guards against a stop that cuts off what still runs: a client that gets no answer does not even know that its write
+// was sent.
+TEST_CASE("an entry instance answers every statement before its time to stop is over")
+{
+    NodeDeployment deployment(3, 1, { .statementTimeout_ = 20s });
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    auto& entry = deployment.entries()[0];
+    LineClient client(entry.address_);
+    REQUIRE(client.start("receipts").mark_ == 'I');
+    deployment.server(0).faults().delayMs_ = 20000;
+    client.send("QUERY slow WRITE item y\r\n");
+    REQUIRE(waitFor([&] { return deployment.hasRun("slow"); }, 2s));
+    entry.process_->terminate();
+    const auto answer = client.receive(6s);
+    CHECK(answer.mark_ != '?');
+    CHECK(answer.error_ == "INDOUBT");
+    CHECK(waitFor([&] { return !entry.process_->isRunning(); }, 2s));
+    CHECK(entry.process_->exitStatus() == 0);
+}
+
 // Guards against two primaries at once: part of the instances and all control members lose the primary, the others go
 // on with it, and the authority does not stop it when it promotes another one.
 TEST_CASE("no commit is acknowledged by a primary that has a successor, where the authority checks no fences")
