Answer operators' calls before a control member stops

What callers saw: a configuration or a read that a control member had taken got no answer when the member was told to stop; the connection ended.

The member left the loop as soon as its departure was answered or refused, with calls open and replies not written.

Evidence: the new case of NodeTest stops two of three members, sends a configuration to the third and then SIGTERM.

Calls that are open are now answered with 503, which makes operators ask another member, and the process ends once the replies are written, 0.5 s later at the latest.

--- a/daemon/connection/HttpListener.cpp
+++ b/daemon/connection/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "connection/HttpListener.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstring>
 
@@ -242,6 +243,14 @@
     }
 }
 
+bool HttpListener::hasUnsentReplies() const
+{
+    return std::any_of(connections_.begin(), connections_.end(), [](const auto& item) {
+        const auto& connection = *item.second;
+        return connection.pending_ || !connection.outgoing_.empty() || lws_partial_buffered(item.first);
+    });
+}
+
 int HttpListener::callback(lws* wsi, lws_callback_reasons reason, void*, void* in, std::size_t length)
 {
     auto* self = static_cast<HttpListener*>(EventLoop::ownerOf(wsi));
--- a/daemon/connection/HttpListener.h
+++ b/daemon/connection/HttpListener.h
@@ -107,6 +107,8 @@
     /// Calls a function for each open WebSocket connection.
     void forEachStream(const std::function<void(const HttpConnectionPtr&)>&);
     std::size_t openConnections() const { return connections_.size(); }
+    /// A reply or a message waits for its socket.
+    bool hasUnsentReplies() const;
 
 private:
     static int callback(lws*, lws_callback_reasons, void* user, void* in, std::size_t length);
--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -37,6 +37,9 @@
     constexpr auto storageRetry = 500ms;
     // A stopping member waits for its removal for this long: two elections, and far less than callers grant a stop.
     constexpr auto departureTime = 1s;
+    // Within this time after that, callers have taken the last replies.
+    constexpr auto lastRepliesTime = 500ms;
+    constexpr auto stopCheck = 10ms;
     // Elections, restarts and the admission of a member are over within this time.
     constexpr auto impairmentReportTime = 2s;
     // Entries after which a snapshot is written, and entries kept behind it: a catalog of 350 routes has about 90 KB.
@@ -152,11 +155,15 @@
 void ControlHost::run()
 {
     loop_.run();
-    LogLine(LogKind::Lifecycle, "stopped").with("role", "control");
+    LogLine(LogKind::Lifecycle, "stopped")
+        .with("role", "control")
+        .with("unsent_replies", static_cast<std::uint64_t>(operators_->hasUnsentReplies() ? 1 : 0));
 }
 
 void ControlHost::startControl()
 {
+    if (isStopped_)
+        return;
     ControlTaskOptions options;
     options.instance_ = self_;
     options.listed_ = seedInstances(settings_);
@@ -229,10 +236,25 @@
 
 void ControlHost::stop()
 {
-    duty_.setLeading(false);
+    if (std::exchange(isStopped_, true))
+        return;
     if (control_)
         control_->stop();
-    loop_.stop();
+    receiveAll(); // The control task's last answers.
+    duty_.setLeading(false);
+    for (const auto& [token, call] : std::exchange(calls_, {})) {
+        if (call.connection_)
+            call.connection_->reply(statusReply(503));
+    }
+    stopEnd_ = Clock::now() + lastRepliesTime;
+    finishStop();
+}
+
+void ControlHost::finishStop()
+{
+    if (!operators_->hasUnsentReplies() || Clock::now() >= stopEnd_)
+        return loop_.stop();
+    loop_.schedule(Clock::now() + stopCheck, [this] { finishStop(); });
 }
 
 void ControlHost::receive(const Reload& reload)
@@ -357,7 +379,7 @@
     }
     if (leases_)
         leases_->setStatus(status);
-    duty_.setLeading(status.role_ == ControlRole::Leader);
+    duty_.setLeading(status.role_ == ControlRole::Leader && !isStopped_);
     if (status.hasAppliedEarlierTerms_)
         duty_.setGrants(*status.grants_);
 }
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -93,6 +93,7 @@
     /// Asks to be removed from the voters, so that the others tolerate losses while this member is away.
     void depart();
     void stop();
+    void finishStop();
     void receiveAll();
     void receive(const Shutdown&);
     void receive(const Reload&);
@@ -167,6 +168,8 @@
     std::shared_ptr<const RouteCatalog> catalog_;
     std::unique_ptr<ControlTask> control_;
     ControlStatus status_;
+    bool isStopped_ { false };
+    TimePoint stopEnd_; ///< For the last replies.
     TimePoint departureEnd_; ///< The epoch unless this member is stopping.
     std::string_view impairment_;
     TimePoint impairedAt_;
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -227,6 +227,34 @@
     CHECK(entry.process_->exitStatus() == 0);
 }
 
+// Guards against a control member that stops with calls of operators unanswered.
+TEST_CASE("a control member that is told to stop answers the calls that it has taken")
+{
+    NodeDeployment deployment(3, 1);
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    auto& controls = deployment.controls();
+    const auto leads = [](const NodeDeployment::Node& node) {
+        const auto output = node.process_->output();
+        const auto last = output.rfind("event=control_status");
+        return last != std::string::npos && output.find(" leader=" + node.host_ + ":", last) != std::string::npos;
+    };
+    const auto leader = std::find_if(controls.begin(), controls.end(), leads);
+    REQUIRE(leader != controls.end());
+    // Without the others, a change waits for its majority.
+    for (auto& node : controls) {
+        if (&node != &*leader)
+            node.process_->stop();
+    }
+    auto call = std::async(std::launch::async,
+        [&] { return callNode("PUT", leader->address_, "/api/config", deployment.document(2, { "receipts" }), 3s); });
+    std::this_thread::sleep_for(50ms);
+    leader->process_->terminate();
+    CHECK(call.get().status_ == 503);
+    CHECK(waitFor([&] { return !leader->process_->isRunning(); }, 4s));
+    CHECK(leader->process_->exitStatus() == 0);
+}
+
 // Guards against two primaries at once: part of the instances and all control members lose the primary, the others go
 // on with it, and the authority does not stop it when it promotes another one.
 TEST_CASE("no commit is acknowledged by a primary that has a successor, where the authority checks no fences")
