Offer statements that wait for room before a session is closed

What callers saw: a client that sends statements without waiting, and reads late, lost those behind the first one when its entry instance was told to stop: they were read, and the connection ended (LOST).

Cause: while answers are unread, the next statement stays in the channel. The close after the first answer was decided meanwhile, and looked only at what the socket had.

The channel offers what it holds as well before it closes.

--- a/daemon/connection/LineChannel.cpp
+++ b/daemon/connection/LineChannel.cpp
@@ -308,7 +308,9 @@
 {
     std::array<char, readAheadBytes> buffer;
     const auto size = ::recv(lws_get_socket_fd(connection_.wsi_), buffer.data(), buffer.size(), MSG_DONTWAIT);
-    if (size > 0 && receive({ buffer.data(), static_cast<std::size_t>(size) }) != 0)
+    const std::string_view bytes(buffer.data(), size > 0 ? static_cast<std::size_t>(size) : 0);
+    // The owner may also have waited for room.
+    if ((!bytes.empty() || hasInput()) && receive(bytes) != 0)
         return -1;
     return closing_ && outgoing_.empty() ? -1 : 0;
 }
--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -205,6 +205,29 @@
     CHECK(entry.process_->exitStatus() == 0);
 }
 
+// Guards against a session that is closed with statements that were read, because its client reads answers late.
+TEST_CASE("an entry instance that is told to stop serves statements that wait for room")
+{
+    // With a memory limit, the next statement waits while a client does not read its answers.
+    NodeDeployment deployment(3, 1, { .memoryMb_ = 160, .shutdown_ = 10s });
+    REQUIRE(deployment.configure(1, { "receipts" }, 10s));
+    REQUIRE(deployment.waitUntilReady(10s));
+    REQUIRE(writesWithin(deployment, 0, "receipts", 5s));
+    auto& entry = deployment.entries()[0];
+    LineClient client(entry.address_);
+    REQUIRE(client.start("receipts").mark_ == 'I');
+    const std::string value(900000, 'v');
+    REQUIRE(isDone(client.query("WRITE large " + value)));
+    client.send("QUERY first READ large\r\nQUERY second READ large\r\n");
+    REQUIRE(waitFor([&] { return deployment.hasRun("first"); }, 2s));
+    entry.process_->terminate();
+    std::this_thread::sleep_for(1s);
+    CHECK(client.receive(5s).rows_ == std::vector { value });
+    CHECK(client.receive(5s).rows_ == std::vector { value });
+    CHECK(waitFor([&] { return !entry.process_->isRunning(); }, 8s));
+    CHECK(entry.process_->exitStatus() == 0);
+}
+
 // Guards against a stop that cuts off what still runs: a client that gets no answer does not even know that its write
 // was sent.
 TEST_CASE("an entry instance answers every statement before its time to stop is over")
