Do not look up the idle limit of a session that is being closed

What callers saw: an entry instance crashed, with all statements open there, when a configuration removed a key whose session had sent nothing yet.

One without statements has no catalog, and the tick that ends idle transactions looked its limit up there.

Evidence: found by review.

A session that is being closed is left alone by the tick.

--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -435,7 +435,8 @@
     std::vector<SessionPtr> endedRevoked;
     for (const auto& session : sessions_) {
         auto& sql = session->sql_;
-        if (session->isRevoked_ && !session->busy_ && now - session->used_ > session->catalog_->idleTransaction_)
+        if (session->isRevoked_ && !session->busy_ && !session->isClosing_
+            && now - session->used_ > session->catalog_->idleTransaction_)
             endedRevoked.push_back(session);
         if (sql.transaction_ != TransactionState::Open || session->busy_)
             continue;
--- a/tests/integration/AccountTest.cpp
+++ b/tests/integration/AccountTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <future>
 #include <map>
 #include <set>
 #include <thread>
@@ -182,6 +183,34 @@
     CHECK(again.start("receipts", "key-of-ovens").error_ == "AUTHFAIL");
 }
 
+// Guards against a crash: a session that has sent no statement has no catalog, and its limit for idle transactions is
+// looked up when the loop was held up between the removal of its key and its close.
+TEST_CASE("a removed key ends a session without statements while the loop is busy")
+{
+    GatewayHarness::Options options;
+    options.accounts_ = { { "ovens", { "key-of-ovens" } }, { "mills", { "key-of-mills" } } };
+    GatewayHarness harness(options);
+    const auto client = harness.client("verdicts", "key-of-ovens");
+    (*options.accounts_)["ovens"].clear();
+    const auto stall = [&](std::chrono::milliseconds time) {
+        return std::async(std::launch::async,
+            [&harness, time] { harness.onGateway([time](StatementGateway&) { std::this_thread::sleep_for(time); }); });
+    };
+    // Both the configuration and what follows are handled in one turn of the loop, as after the decoding of a large
+    // catalog.
+    auto first = stall(300ms);
+    std::this_thread::sleep_for(100ms);
+    auto change = std::async(std::launch::async, [&] { harness.configure(options); });
+    std::this_thread::sleep_for(50ms);
+    auto second = stall(150ms);
+    first.get();
+    change.get();
+    second.get();
+    CHECK(client->isClosed(2s));
+    const auto other = harness.client("verdicts", "key-of-mills");
+    CHECK(isDone(other->query("READ item")));
+}
+
 // Guards against a transaction that commits although its key was removed while one of its statements ran.
 TEST_CASE("a transaction whose key is removed during a statement is rolled back after the answer")
 {
