Await the rest of a statement before its session is closed

What callers saw: a large statement that had arrived in part when its entry instance stopped got no answer; the reset could also discard the answer before it.

Cause: a session with a part of a statement counted as resting. The last look at the socket read 16 KB once, and the close left the rest unread, which resets the connection.

The new case of GatewayTest got no answer without the change.

A session whose client has begun to send a message is not closed until the message is whole, or until statements are given up.

--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -77,8 +77,7 @@
         if (!line)
             break;
         session->used_ = suspendAwareNow();
-        if (std::exchange(session->isClosing_, false))
-            session->channel_->keepOpen();
+        goOn(session);
         auto message = platform::decodeClientLine(*line);
         if (auto* start = std::get_if<platform::ClientStart>(&message)) {
             handle(session, std::move(*start));
@@ -102,10 +101,25 @@
         session->channel_->close();
         sessionClosed(session);
     }
+    if (taken < bytes.size() && mayAwaitRest(*session))
+        goOn(session);
     session->channel_->setTaking(!session->busy_ && session->channel_->hasRoom());
     return taken;
 }
 
+// Takes closeSession() back.
+void StatementGateway::goOn(const SessionPtr& session)
+{
+    if (std::exchange(session->isClosing_, false))
+        session->channel_->keepOpen();
+}
+
+// Whether there is time for the rest of a message that the client has begun to send.
+bool StatementGateway::mayAwaitRest(const Session& session) const
+{
+    return !session.isRevoked_ && !(shuttingDown_ && suspendAwareNow() > answersEnd_);
+}
+
 void StatementGateway::handle(const SessionPtr& session, platform::ClientStart start)
 {
     if (!session->started_) {
@@ -540,7 +554,8 @@
     for (const auto& session : sessions_) {
         const bool ended = session->sql_.transaction_ == TransactionState::None || isLate;
         const bool isResting = session->channel_ && !session->busy_ && !session->isClosing_;
-        if (isResting && ended && resting.size() < most)
+        const bool isAwaited = isResting && session->channel_->hasInput() && mayAwaitRest(*session);
+        if (isResting && !isAwaited && ended && resting.size() < most)
             resting.push_back(session);
     }
     for (const auto& session : resting)
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -131,6 +131,8 @@
     std::size_t receive(const SessionPtr&, std::string_view);
     void channelClosed(const SessionPtr&);
     void closeSession(const SessionPtr&);
+    void goOn(const SessionPtr&);
+    bool mayAwaitRest(const Session&) const;
     void giveUpStatements();
     void refuseForShutdown(const SessionPtr&);
     bool isTooLateToBegin(const Route&, bool opensTransaction) const;
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -411,6 +411,22 @@
     CHECK(client->isClosed(2s));
 }
 
+// Guards against a close that leaves a part of a statement unread: it resets the connection.
+TEST_CASE("a shutdown awaits the rest of a statement that its client has begun to send")
+{
+    GatewayHarness harness;
+    const auto client = harness.client("verdicts");
+    REQUIRE(isDone(client->query("READ item")));
+    const std::string half(150000, 'v');
+    client->send("QUERY large WRITE item " + half);
+    std::this_thread::sleep_for(50ms);
+    harness.onGateway([](StatementGateway& gateway) { gateway.beginShutdown(2s, 4s); });
+    std::this_thread::sleep_for(300ms);
+    client->send(half + "\r\n");
+    CHECK(isDone(client->receive()));
+    CHECK(client->isClosed(2s));
+}
+
 // Guards against a shutdown that begins what it cannot end, or ends without an answer to what it has begun.
 TEST_CASE("a shutdown refuses what begins too late and gives up what has no answer")
 {
