--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -238,16 +238,17 @@
 {
     if (std::exchange(isStopped_, true))
         return;
+    duty_.setLeading(false);
     if (control_)
         control_->stop();
     receiveAll(); // The control task's last answers.
-    duty_.setLeading(false);
     for (const auto& [token, call] : std::exchange(calls_, {})) {
         if (call.connection_)
             call.connection_->reply(statusReply(503));
     }
     stopEnd_ = Clock::now() + lastRepliesTime;
-    finishStop();
+    // Calls that were read in this turn of the loop are answered in it.
+    loop_.schedule(Clock::now() + stopCheck, [this] { finishStop(); });
 }
 
 void ControlHost::finishStop()
