--- a/tests/integration/NodeTest.cpp
+++ b/tests/integration/NodeTest.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <future>
 
 using namespace cassiahollow;
 using namespace cassiahollow::testing;
@@ -269,11 +268,13 @@
         if (&node != &*leader)
             node.process_->stop();
     }
-    auto call = std::async(std::launch::async,
-        [&] { return callNode("PUT", leader->address_, "/api/config", deployment.document(2, { "receipts" }), 3s); });
+    const auto document = deployment.document(2, { "receipts" });
+    LineClient caller(leader->address_);
+    caller.send("PUT /api/config HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: "
+        + std::to_string(document.size()) + "\r\n\r\n" + document);
     std::this_thread::sleep_for(50ms);
     leader->process_->terminate();
-    CHECK(call.get().status_ == 503);
+    CHECK(caller.readLine(3s).value_or("").starts_with("HTTP/1.1 503"));
     CHECK(waitFor([&] { return !leader->process_->isRunning(); }, 4s));
     CHECK(leader->process_->exitStatus() == 0);
 }
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -44,9 +44,10 @@
     /// The id of the last query.
     const std::string& id() const { return id_; }
 
-private:
+    /// The next line of what has arrived, without its end; nothing after the limit or the end of the connection.
     std::optional<std::string> readLine(std::chrono::milliseconds limit);
 
+private:
     int socket_ { -1 };
     std::string buffer_;
     std::string id_;
