Search for losses with six members and two lost disks

The new series have a seed of their own, so that the seeds of the other series stand for what they stood for. They end with a fault at an acknowledgement, at the sending of a change or up to 400 ms after it, while a member joins, leaves, restarts, is replaced, is cut off or has a full disk, with catch-up times of 4 s and 6 s.

--- a/tests/ControlLossTest.cpp
+++ b/tests/ControlLossTest.cpp
@@ -1,7 +1,9 @@
 // Searches for series of disruptions after which the control log has no majority, although no more disks were lost at
 // once than it tolerates. Between two losses of a disk, all members run undisturbed for a catch-up time.
 //
-// CONTROL_LOSS_FIRST, CONTROL_LOSS_SERIES and CONTROL_LOSS_FILE_SERIES choose other seeds and more series.
+// CONTROL_LOSS_FIRST, CONTROL_LOSS_SERIES and CONTROL_LOSS_FILE_SERIES choose other seeds and more series;
+// CONTROL_LOSS_SIX_FIRST, CONTROL_LOSS_SIX_SERIES and CONTROL_LOSS_SIX_FILE_SERIES those of six members with two
+// losses. CONTROL_LOSS_THREADS is the number of series played at once.
 
 #include "support/ControlCluster.h"
 #include "support/Environment.h"
@@ -24,13 +26,19 @@
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 constexpr std::size_t defaultSeries = 60;
 constexpr std::size_t defaultFileSeries = 4;
+constexpr std::size_t defaultSixSeries = 10;
+constexpr std::size_t defaultSixFileSeries = 1;
 #else
 constexpr std::size_t defaultSeries = 1500;
 constexpr std::size_t defaultFileSeries = 24;
+constexpr std::size_t defaultSixSeries = 200;
+constexpr std::size_t defaultSixFileSeries = 4;
 #endif
+constexpr std::size_t defaultThreads = 4;
 
 // The time after which a restarted or new member counts as available (CatchupS of the platform's settings).
 constexpr Duration catchUpTime = 4s;
+constexpr Duration longCatchUpTime = 6s;
 // The time within which a cluster whose members all run again serves reads and changes (ContactMs of the settings).
 constexpr Duration serviceTime = 4s;
 
@@ -52,10 +60,18 @@
 
 enum class DiskLoss { None, LoseDisk, LoseDiskAndPower, Replace, ReplacePlanned, Add, Count };
 
+// What happens to a member shortly before the final fault of a series with six members.
+enum class Change { None, Join, Leave, Restart, Replace, ReplacePlanned, CutOff, FillDisk, Count };
+
+// When the final fault of a series with six members strikes.
+enum class Moment { Acknowledged, Sent, AfterSent, Count };
+
 struct Series {
     std::uint64_t seed_;
     std::size_t size_;
     std::size_t losses_; // The disks that may be lost at once.
+    Duration catchUp_ { catchUpTime };
+    bool variesFinalFault_ { false }; // By what happens to a member before it, and by its moment.
 };
 
 struct Result {
@@ -66,12 +82,12 @@
 };
 
 // The settings of the daemon's control host; short snapshots, so that lagging members need one.
-ControlLogOptions hostOptions(std::size_t losses, bool isCompacting)
+ControlLogOptions hostOptions(std::size_t losses, bool isCompacting, Duration catchUp = catchUpTime)
 {
     ControlLogOptions options;
     options.toleratedLosses_ = losses;
     options.admitsUnlisted_ = true;
-    options.removeUnreachableAfter_ = catchUpTime * 3 / 4;
+    options.removeUnreachableAfter_ = catchUp * 3 / 4;
     options.electionTimeout_ = 400ms;
     options.heartbeatInterval_ = 120ms;
     options.helloInterval_ = 250ms;
@@ -84,10 +100,12 @@
 public:
     SeriesRun(const Series& series, const std::filesystem::path& folder, bool isRecording)
         : losses_(series.losses_)
+        , catchUp_(series.catchUp_)
+        , variesFinalFault_(series.variesFinalFault_)
         , random_(series.seed_ * 7919 + series.size_)
         , cluster_({ .seed_ = series.seed_,
               .size_ = series.size_,
-              .log_ = hostOptions(series.losses_, random_() % 2 == 0),
+              .log_ = hostOptions(series.losses_, random_() % 2 == 0, series.catchUp_),
               .folder_ = folder,
               .records_ = isRecording,
               .delaysCutMessages_ = random_() % 2 == 0 })
@@ -102,7 +120,10 @@
         const auto episodes = 1 + random_() % 4;
         for (std::size_t i = 0; i < episodes; ++i)
             playEpisode();
-        loseDiskAtAcknowledgement();
+        if (variesFinalFault_)
+            playFinalFault();
+        else
+            loseDiskAtAcknowledgement();
         checkService();
         result_.acknowledgements_ = cluster_.acknowledgements();
         for (const auto& violation : cluster_.violations())
@@ -235,7 +256,7 @@
                 disrupt();
             cluster_.runFor(between(1ms, 2s));
         }
-        end_ = std::max(end_ + catchUpTime, cluster_.now());
+        end_ = std::max(end_ + catchUp_, cluster_.now());
         cluster_.runFor(end_ - cluster_.now());
     }
 
@@ -271,6 +292,93 @@
         }
     }
 
+    // Returns the number of disks that this takes with it.
+    std::size_t changeMember()
+    {
+        ++result_.disruptions_;
+        const auto name = victim();
+        const auto time = between(100ms, 6s);
+        const auto down = between(200ms, 3s);
+        switch (static_cast<Change>(random_() % static_cast<std::size_t>(Change::Count))) {
+        case Change::Join:
+            cluster_.add();
+            return 0;
+        case Change::Leave:
+            cluster_.terminate(name, std::nullopt);
+            return 1;
+        case Change::Restart:
+            cluster_.terminate(name, down);
+            lasts(1s + down);
+            return 0;
+        case Change::Replace:
+            cluster_.removeForever(name);
+            cluster_.at(cluster_.now() + between(100ms, 1s), [this] { cluster_.add(); });
+            lasts(1s);
+            return 1;
+        case Change::ReplacePlanned:
+            cluster_.add();
+            cluster_.at(cluster_.now() + between(100ms, 2s), [this, name] { cluster_.terminate(name, std::nullopt); });
+            lasts(3s);
+            return 1;
+        case Change::CutOff:
+            cluster_.cut(name, random_() % 3 != 0, random_() % 3 != 0, time);
+            lasts(time);
+            return 0;
+        case Change::FillDisk:
+            cluster_.fillDisk(name, time);
+            lasts(time);
+            return 0;
+        case Change::None:
+        case Change::Count:
+            return 0;
+        }
+        return 0;
+    }
+
+    // The disks that may still be lost, and in three of four cases the power of all other members, at one moment.
+    void strike(std::size_t losses)
+    {
+        std::set<std::string> lost;
+        while (lost.size() < losses)
+            lost.insert(victim());
+        if (random_() % 4 != 0)
+            return loseDisksAndPower(lost);
+        for (const auto& name : lost) {
+            const auto down = between(100ms, 3s);
+            cluster_.loseDisk(name, down);
+            lasts(down);
+        }
+    }
+
+    void playFinalFault()
+    {
+        const auto losses = losses_ - changeMember();
+        // Up to a catch-up time, after which the disk of a member that was replaced no longer counts as lost.
+        cluster_.runFor(between(0ms, random_() % 2 == 0 ? 1s : catchUp_));
+        bool isOver = false;
+        const auto strikeOnce = [&] {
+            if (!std::exchange(isOver, true))
+                strike(losses);
+        };
+        switch (static_cast<Moment>(random_() % static_cast<std::size_t>(Moment::Count))) {
+        case Moment::Acknowledged:
+            cluster_.onAcknowledged(strikeOnce);
+            break;
+        case Moment::Sent:
+            cluster_.onChangeSent(strikeOnce);
+            break;
+        case Moment::AfterSent:
+            cluster_.onChangeSent([&] { cluster_.at(cluster_.now() + between(5ms, 400ms), strikeOnce); });
+            break;
+        case Moment::Count:
+            break;
+        }
+        if (!cluster_.runUntil([&] { return isOver; }, serviceTime)) {
+            result_.violations_.emplace_back("no change acknowledged before the final fault");
+            strikeOnce();
+        }
+    }
+
     void checkService()
     {
         cluster_.runFor(std::max<Duration>(end_ - cluster_.now(), 0ms));
@@ -290,6 +398,8 @@
     }
 
     const std::size_t losses_;
+    const Duration catchUp_;
+    const bool variesFinalFault_;
     std::mt19937_64 random_;
     ControlCluster cluster_;
     TimePoint end_;
@@ -298,7 +408,8 @@
 
 std::string describe(const Series& series)
 {
-    return "CONTROL_LOSS_FIRST=" + std::to_string(series.seed_) + " with " + std::to_string(series.size_) + " members";
+    return (series.variesFinalFault_ ? "CONTROL_LOSS_SIX_FIRST=" : "CONTROL_LOSS_FIRST=") + std::to_string(series.seed_)
+        + " with " + std::to_string(series.size_) + " members";
 }
 
 // Prints a summary, the seeds of all series with a violation, and the history of the first one. Returns the number of
@@ -347,6 +458,37 @@
     return all;
 }
 
+// Six members with two losses, as cmrc-pool-large has them. Apart from the shapes above, whose seeds would otherwise
+// stand for other series.
+std::vector<Series> sixMemberSeriesFrom(std::uint64_t first, std::size_t count)
+{
+    std::vector<Series> all;
+    for (auto seed = first; seed < first + count; ++seed)
+        all.push_back({ seed, 6, 2, seed % 2 == 0 ? catchUpTime : longCatchUpTime, true });
+    return all;
+}
+
+std::vector<Result> playAll(const std::vector<Series>& all)
+{
+    std::vector<Result> results(all.size());
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    for (auto i = numberFrom("CONTROL_LOSS_THREADS", defaultThreads); i > 0; --i) {
+        threads.emplace_back([&] {
+            for (auto index = next++; index < all.size(); index = next++)
+                results[index] = SeriesRun(all[index], {}, false).run();
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    return results;
+}
+
+Result replay(const Series& series)
+{
+    return SeriesRun(series, {}, true).run();
+}
+
 // Removed at the end of the test.
 struct TemporaryFolder {
     std::filesystem::path path_;
@@ -359,6 +501,20 @@
     ~TemporaryFolder() { std::filesystem::remove_all(path_); }
 };
 
+Result replayWithFiles(const Series& series)
+{
+    const TemporaryFolder folder;
+    return SeriesRun(series, folder.path_, true).run();
+}
+
+std::vector<Result> playAllWithFiles(const std::vector<Series>& all)
+{
+    std::vector<Result> results;
+    for (const auto& series : all)
+        results.push_back(replayWithFiles(series));
+    return results;
+}
+
 } // namespace
 
 // Guards against members that refuse their votes to all others and do not campaign themselves.
@@ -422,19 +578,7 @@
 TEST_CASE("an acknowledged change is read back after a lost disk")
 {
     const auto all = seriesFrom(numberFrom("CONTROL_LOSS_FIRST", 1), numberFrom("CONTROL_LOSS_SERIES", defaultSeries));
-    std::vector<Result> results(all.size());
-    std::atomic<std::size_t> next { 0 };
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i) {
-        threads.emplace_back([&] {
-            for (auto index = next++; index < all.size(); index = next++)
-                results[index] = SeriesRun(all[index], {}, false).run();
-        });
-    }
-    for (auto& thread : threads)
-        thread.join();
-    const auto replay = [](const Series& series) { return SeriesRun(series, {}, true).run(); };
-    CHECK(report("losses", all, results, replay) == 0);
+    CHECK(report("losses", all, playAll(all), replay) == 0);
 }
 
 // Guards against files that a member cannot use any more after writes have failed. One thread, because the limit that
@@ -443,12 +587,22 @@
 {
     const auto all
         = seriesFrom(numberFrom("CONTROL_LOSS_FIRST", 1), numberFrom("CONTROL_LOSS_FILE_SERIES", defaultFileSeries));
-    const auto play = [](const Series& series) {
-        const TemporaryFolder folder;
-        return SeriesRun(series, folder.path_, true).run();
-    };
-    std::vector<Result> results;
-    for (const auto& series : all)
-        results.push_back(play(series));
-    CHECK(report("losses with files", all, results, play) == 0);
+    CHECK(report("losses with files", all, playAllWithFiles(all), replayWithFiles) == 0);
+}
+
+// Guards against two disks lost at once by six members, around a change of the members or of the catalog: the final
+// faults of cmrc-pool-large.
+TEST_CASE("an acknowledged change is read back by six members after two lost disks")
+{
+    const auto all = sixMemberSeriesFrom(
+        numberFrom("CONTROL_LOSS_SIX_FIRST", 1), numberFrom("CONTROL_LOSS_SIX_SERIES", defaultSixSeries));
+    CHECK(report("losses of six", all, playAll(all), replay) == 0);
+}
+
+// Guards against the same with the files of real disks.
+TEST_CASE("an acknowledged change is read back from the files of six members after two lost disks")
+{
+    const auto all = sixMemberSeriesFrom(
+        numberFrom("CONTROL_LOSS_SIX_FIRST", 1), numberFrom("CONTROL_LOSS_SIX_FILE_SERIES", defaultSixFileSeries));
+    CHECK(report("losses of six with files", all, playAllWithFiles(all), replayWithFiles) == 0);
 }
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -510,6 +510,8 @@
         ++version_;
         isChanging_ = true;
         changeStartedAt_ = now_;
+        if (const auto action = std::exchange(changeSentAction_, nullptr))
+            push(now_, action);
     }
     changeSentAt_ = now_;
     ask(name,
--- a/tests/support/ControlCluster.h
+++ b/tests/support/ControlCluster.h
@@ -73,6 +73,8 @@
     std::uint64_t acknowledgements() const { return acknowledgements_; }
     /// Calls the function once, right after the next acknowledgement.
     void onAcknowledged(std::function<void()> action) { acknowledgedAction_ = std::move(action); }
+    /// Calls the function once, right after the next change was sent for the first time.
+    void onChangeSent(std::function<void()> action) { changeSentAction_ = std::move(action); }
     /// Reads the catalog at all running instances until one confirms a version, within the limit.
     std::optional<std::uint64_t> readBack(Duration limit);
 
@@ -158,6 +160,7 @@
     std::uint64_t acknowledged_ { 0 };
     std::uint64_t acknowledgements_ { 0 };
     std::function<void()> acknowledgedAction_;
+    std::function<void()> changeSentAction_;
     std::optional<std::uint64_t> readBack_;
     std::map<std::uint64_t, std::string> documents_; ///< What members applied, by version.
     std::vector<std::string> violations_;
