Record where a configuration is durable and why a read is refused

The leader now writes one line for each acknowledged change with the members that have it synced. A control member writes what the files of the log and the copy of the directory held at its start, and the version in force 1 s later. A refused read names its cause, and three counters tell the causes apart. No rule of the control log changes.

--- a/daemon/process/ControlHost.cpp
+++ b/daemon/process/ControlHost.cpp
@@ -19,6 +19,8 @@
     constexpr auto tickInterval = 50ms;
     // Callers give a member one second; an answer within this time still reaches them.
     constexpr auto callTime = 850ms;
+    // The time after a start within which members usually have a leader and have applied what was committed.
+    constexpr auto startReportTime = 1s;
     // A member acknowledges only while it was in contact with the leader within this time: two elections.
     constexpr auto contactTime = 1200ms;
     // Records of all endpoints are sent to the other members at this interval, in case a message was lost.
@@ -128,8 +130,10 @@
     instancesBefore_ = copy.instances_;
     neighboursBefore_ = std::move(copy.neighbours_);
     started_ = Clock::now();
-    if (copy.catalog_)
-        applyCatalog(std::make_shared<const CatalogDocument>(std::move(*copy.catalog_)));
+    if (copy.catalog_) {
+        storedVersion_ = copy.catalog_->version_;
+        applyCatalog(std::make_shared<const CatalogDocument>(std::move(*copy.catalog_)), "directory_copy");
+    }
     const auto listener = [this](std::string name, const std::string& address) {
         HttpHandlers handlers;
         handlers.request_ = [this](const HttpConnectionPtr& c, const HttpRequest& r) { handleCall(c, r); };
@@ -187,6 +191,8 @@
     callbacks.catalogApplied_ = [this](std::shared_ptr<const CatalogDocument> catalog) {
         mailbox_.post(CatalogApplied { std::move(catalog) });
     };
+    callbacks.catalogCommitted_
+        = [this](const CatalogCommittedAction& report) { mailbox_.post(CatalogCommitted { report }); };
     callbacks.answered_
         = [this](std::uint64_t token, const ChangeOutcome& outcome, const std::shared_ptr<const SettingsTree>&) {
               mailbox_.post(Answered { token, outcome });
@@ -203,6 +209,7 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_CHECK(control_->start());
+            reportStart();
             return {};
         },
         failed,
@@ -211,6 +218,30 @@
         });
 }
 
+void ControlHost::reportStart()
+{
+    const auto& loaded = control_->loaded();
+    LogLine(LogKind::Lifecycle, "control_loaded")
+        .with("term", loaded.term_)
+        .with("last", loaded.last_.index_)
+        .with("last_term", loaded.last_.term_)
+        .with("snapshot", loaded.snapshotIndex_)
+        .with("snapshot_catalog", loaded.snapshotCatalog_)
+        .with("log_catalog", loaded.lastCatalog_)
+        .with("directory_catalog", storedVersion_)
+        .with("members", memberList(loaded.members_));
+    metrics_.setGauge("control_loaded_log_catalog", static_cast<double>(loaded.lastCatalog_));
+    metrics_.setGauge("control_loaded_directory_catalog", static_cast<double>(storedVersion_));
+    loop_.schedule(Clock::now() + startReportTime, [this] {
+        LogLine(LogKind::Lifecycle, "catalog_after_start")
+            .with("version", appliedVersion())
+            .with("leader", status_.leader_.value_)
+            .with("term", status_.term_)
+            .with("members", memberList(status_.members_))
+            .with("heard", instanceList(heardMembers()));
+    });
+}
+
 void ControlHost::receiveAll()
 {
     for (auto& message : mailbox_.take())
@@ -243,8 +274,12 @@
     receiveAll(); // The control task's last answers.
     duty_.setLeading(false);
     for (const auto& [token, call] : std::exchange(calls_, {})) {
-        if (call.connection_)
-            call.connection_->reply(statusReply(503));
+        if (!call.connection_)
+            continue;
+        if (call.isRead_)
+            refuseRead(call, "this member stops");
+        else
+            refuseChange(call, Outcome::Unknown, "this member stops");
     }
     stopEnd_ = Clock::now() + lastRepliesTime;
     finishStop();
@@ -295,17 +330,28 @@
 {
     if (document_ && document_->version_ >= message.catalog_->version_)
         return;
-    applyCatalog(message.catalog_);
+    applyCatalog(message.catalog_, "log");
     saveDirectory();
     answerReads();
     pushFeeds();
 }
 
-void ControlHost::applyCatalog(std::shared_ptr<const CatalogDocument> document)
+void ControlHost::receive(const CatalogCommitted& message)
+{
+    const auto& report = message.report_;
+    LogLine(LogKind::Belief, "catalog_committed")
+        .with("version", report.version_)
+        .with("index", report.position_.index_)
+        .with("term", report.position_.term_)
+        .with("synced", memberList(report.synced_))
+        .with("unsynced", memberList(report.unsynced_));
+}
+
+void ControlHost::applyCatalog(std::shared_ptr<const CatalogDocument> document, std::string_view source)
 {
     document_ = std::move(document);
     packed_ = std::make_shared<const PackedCatalog>(packCatalog(*document_));
-    LogLine(LogKind::Belief, "catalog_applied").with("version", document_->version_);
+    LogLine(LogKind::Belief, "catalog_applied").with("version", document_->version_).with("source", source);
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(catalog, platform::decodeCatalog(document_->document_));
@@ -354,13 +400,17 @@
     }
     if (!done && message.outcome_.reason_)
         metrics_.count(*message.outcome_.reason_);
-    if (!call.isRead_) {
+    if (call.isRead_) {
+        refuseRead(call, message.outcome_.detail_);
+    } else if (!done) {
+        refuseChange(call, message.outcome_.outcome_, message.outcome_.detail_);
+    } else {
         LogLine(LogKind::Belief, "change_answered")
             .with("outcome", outcomeName(message.outcome_.outcome_))
             .with("version", message.outcome_.revision_)
             .with("detail", message.outcome_.detail_);
+        call.connection_->reply(statusReply(200));
     }
-    call.connection_->reply(statusReply(done ? 200 : 503));
     calls_.erase(found);
 }
 
@@ -548,8 +598,13 @@
     if (!valid)
         return connection->reply(statusReply(400, "{\"error\":\"invalid\"}"));
     // What is applied here is committed, and stays below every later version.
-    if (document_ && version <= document_->version_)
+    if (document_ && version <= document_->version_) {
+        LogLine(LogKind::Belief, "change_answered")
+            .with("outcome", outcomeName(Outcome::Done))
+            .with("version", document_->version_)
+            .with("detail", "applied here before");
         return connection->reply(statusReply(200));
+    }
     submit(ControlChange { documentKey(version, document), CatalogChange { { version, document } } },
         { .connection_ = connection });
 }
@@ -562,7 +617,8 @@
 std::uint64_t ControlHost::submit(ControlRequest request, PendingCall call)
 {
     const auto token = nextToken_++;
-    call.deadline_ = Clock::now() + callTime;
+    call.arrived_ = Clock::now();
+    call.deadline_ = call.arrived_ + callTime;
     calls_.emplace(token, std::move(call));
     if (!control_ || !control_->post(LocalRequest { token, std::move(request) }))
         receive(Answered { token, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, "no control task") });
@@ -574,6 +630,38 @@
     connection->reply(document_ ? statusReply(200, document_->document_) : statusReply(503));
 }
 
+void ControlHost::refuseRead(const PendingCall& call, std::string_view detail)
+{
+    std::string_view cause = "unconfirmed";
+    auto counter = CounterId::ReadsUnconfirmed;
+    if (call.wantedVersion_ > 0) {
+        cause = "not_applied";
+        counter = CounterId::ReadsNotApplied;
+    } else if (status_.leader_.empty()) {
+        cause = "no_leader";
+        counter = CounterId::ReadsWithoutLeader;
+    }
+    metrics_.add(counter);
+    LogLine(LogKind::Refusal, "catalog_read_refused")
+        .with("cause", cause)
+        .with("waited", Clock::now() - call.arrived_)
+        .with("confirmed", call.wantedVersion_)
+        .with("applied", appliedVersion())
+        .with("leader", status_.leader_.value_)
+        .with("detail", detail);
+    call.connection_->reply(statusReply(503));
+}
+
+void ControlHost::refuseChange(const PendingCall& call, Outcome outcome, std::string_view detail)
+{
+    LogLine(LogKind::Belief, "change_answered")
+        .with("outcome", outcomeName(outcome))
+        .with("version", std::uint64_t(0))
+        .with("waited", Clock::now() - call.arrived_)
+        .with("detail", detail);
+    call.connection_->reply(statusReply(503));
+}
+
 void ControlHost::answerReads()
 {
     std::erase_if(calls_, [&](const auto& item) {
@@ -869,7 +957,10 @@
     std::erase_if(calls_, [&](const auto& item) {
         if (!item.second.connection_ || now < item.second.deadline_)
             return false;
-        item.second.connection_->reply(statusReply(503));
+        if (item.second.isRead_)
+            refuseRead(item.second, "no answer in time");
+        else
+            refuseChange(item.second, Outcome::Unknown, "no answer in time");
         return true;
     });
     std::erase_if(instances_, [&](const auto& item) { return now - item.second.asked_ > registryLifetime; });
--- a/daemon/process/ControlHost.h
+++ b/daemon/process/ControlHost.h
@@ -50,6 +50,9 @@
     struct CatalogApplied {
         std::shared_ptr<const CatalogDocument> catalog_;
     };
+    struct CatalogCommitted {
+        CatalogCommittedAction report_;
+    };
     struct Answered {
         std::uint64_t token_;
         ChangeOutcome outcome_;
@@ -57,8 +60,8 @@
     struct StorageLost {
         Failure failure_;
     };
-    using Message
-        = std::variant<Shutdown, Reload, PeerMessage, Send, CatalogApplied, Answered, ControlStatus, StorageLost>;
+    using Message = std::variant<Shutdown, Reload, PeerMessage, Send, CatalogApplied, CatalogCommitted, Answered,
+        ControlStatus, StorageLost>;
 
     /// An operator's call that waits for the control log.
     struct PendingCall {
@@ -67,6 +70,7 @@
         bool isRead_ { false };
         bool isDeparture_ { false }; ///< No call, but the departure of this member.
         std::optional<GroupId> grant_; ///< Set: no call, but a grant that the duty waits for.
+        TimePoint arrived_;
         TimePoint deadline_;
     };
     struct EntryInstance {
@@ -100,7 +104,11 @@
     void receive(const PeerMessage&);
     void receive(const Send&);
     void receive(const CatalogApplied&);
-    void applyCatalog(std::shared_ptr<const CatalogDocument>);
+    void receive(const CatalogCommitted&);
+    void applyCatalog(std::shared_ptr<const CatalogDocument>, std::string_view source);
+    std::uint64_t appliedVersion() const { return document_ ? document_->version_ : 0; }
+    /// Logs what the files of the control log and the copy of the directory held, and soon what is in force.
+    void reportStart();
     void saveDirectory();
     void receive(const Answered&);
     void receive(const ControlStatus&);
@@ -121,6 +129,9 @@
     void deleteEndpoint(const HttpConnectionPtr&, const std::string& id);
     std::uint64_t submit(ControlRequest, PendingCall);
     void replyCatalog(const HttpConnectionPtr&);
+    /// Refuses the call and records the cause.
+    void refuseRead(const PendingCall&, std::string_view detail);
+    void refuseChange(const PendingCall&, Outcome, std::string_view detail);
     void answerReads();
 
     void tick();
@@ -174,6 +185,7 @@
     std::string_view impairment_;
     TimePoint impairedAt_;
     bool isImpairmentReported_ { false };
+    std::uint64_t storedVersion_ { 0 }; ///< Of the catalog in the copy of the directory when the process started.
     std::shared_ptr<const CatalogDocument> document_;
     std::shared_ptr<const PackedCatalog> packed_; ///< Of document_.
     std::map<std::uint64_t, PendingCall> calls_;
--- a/daemon/version/ControlTask.cpp
+++ b/daemon/version/ControlTask.cpp
@@ -66,6 +66,7 @@
     if (applied)
         applied_ = std::make_shared<const SettingsTree>(std::move(*applied));
     storage_ = std::make_unique<ControlStorage>(std::move(storage));
+    loaded_ = contentsOf(storage_->stored_);
     // A task that starts again in the same process needs other request numbers, or it would take a late response to an
     // earlier request for the response to a new one.
     std::random_device entropy;
@@ -226,6 +227,9 @@
         } else if (const auto* catalog = std::get_if<ApplyCatalogAction>(&action)) {
             if (callbacks_.catalogApplied_)
                 callbacks_.catalogApplied_(catalog->catalog_);
+        } else if (const auto* committed = std::get_if<CatalogCommittedAction>(&action)) {
+            if (callbacks_.catalogCommitted_)
+                callbacks_.catalogCommitted_(*committed);
         } else if (const auto* answer = std::get_if<ResponseAction>(&action)) {
             unanswered_.erase(answer->token_);
             callbacks_.answered_(answer->token_, answer->outcome_, answer->settings_);
--- a/daemon/version/ControlTask.h
+++ b/daemon/version/ControlTask.h
@@ -48,6 +48,8 @@
     std::function<void(const GroupId&, const GroupMembers&)> groupApplied_;
     /// A newer catalog; may be empty. Called once at start with the one of the snapshot.
     std::function<void(std::shared_ptr<const CatalogDocument>)> catalogApplied_;
+    /// A catalog change that this member acknowledges as the leader. Called before answered_. May be empty.
+    std::function<void(const CatalogCommittedAction&)> catalogCommitted_;
     /// The outcome of a request; each accepted LocalRequest gets exactly one. The tree is set for a successful read.
     std::function<void(std::uint64_t token, const ChangeOutcome&, std::shared_ptr<const SettingsTree>)> answered_;
     std::function<void(const ControlStatus&)> statusChanged_;
@@ -83,6 +85,9 @@
     /// Opens the files and starts the thread. Fails like openControlStorage. To be called once.
     boost::leaf::result<void> start();
 
+    /// What the files held at the start. Constant after start().
+    const ControlContents& loaded() const { return loaded_; }
+
     /// Gives an event to the task, from any thread. Returns false, without effect, when the task has ended or too many
     /// events are waiting; a refused request gets no answer.
     bool post(Event);
@@ -112,6 +117,7 @@
     ControlTaskOptions options_;
     ControlTaskCallbacks callbacks_;
     std::thread thread_;
+    ControlContents loaded_;
 
     /// A round of messages of this leader that a majority has not answered yet.
     struct SentRound {
--- a/include/cassiahollow/process/Metrics.h
+++ b/include/cassiahollow/process/Metrics.h
@@ -49,6 +49,9 @@
     QuotaTokensGranted,
     QuotaTokensLent,
     ClosedWithInput,
+    ReadsWithoutLeader,
+    ReadsUnconfirmed,
+    ReadsNotApplied,
     Count
 };
 
--- a/include/cassiahollow/version/ControlLog.h
+++ b/include/cassiahollow/version/ControlLog.h
@@ -102,6 +102,21 @@
 /// Returns the latest configuration, or null before bootstrap. The pointer is valid until the contents change.
 const ControlConfiguration* configurationOf(const ControlStored&);
 
+/// What a member's files hold, for the record of its start.
+struct ControlContents {
+    Term term_ { 0 };
+    LogPosition last_;
+    std::uint64_t snapshotIndex_ { 0 }; ///< 0 before the first snapshot.
+    std::uint64_t snapshotCatalog_ { 0 }; ///< Version of the snapshot's catalog, which was committed.
+    /// Highest catalog version of the snapshot and of all entries, some of which may not have been committed.
+    std::uint64_t lastCatalog_ { 0 };
+    std::vector<ControlMember> members_; ///< Of the latest configuration; empty before bootstrap.
+
+    bool operator==(const ControlContents&) const = default;
+};
+
+ControlContents contentsOf(const ControlStored&);
+
 /// Messages between control members, and between other instances and control members.
 
 /// Announces a member that has no configuration, is not part of it, or has no contact with a leader. Also the response.
@@ -219,8 +234,17 @@
     std::shared_ptr<const CatalogDocument> catalog_;
 };
 
+/// Reports to the leader's process which members had a catalog change on their disks when it was committed. Precedes
+/// the response. Only for changes that this leader acknowledges.
+struct CatalogCommittedAction {
+    std::uint64_t version_ { 0 };
+    LogPosition position_;
+    std::vector<ControlMember> synced_;
+    std::vector<ControlMember> unsynced_; ///< The other members of the configuration.
+};
+
 using ControlAction = std::variant<PersistAction, SendAction, ApplySettingsAction, ApplyGroupAction, ApplyCatalogAction,
-    ResponseAction>;
+    CatalogCommittedAction, ResponseAction>;
 
 /// Deliberate protocol violations. Tests set one to show that the fault matrix detects it; the daemon sets none.
 struct ControlInjectedFaults {
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -47,6 +47,12 @@
         { "quota_tokens_lent_total", "Tokens of quotas lent to other data centres." },
         { "closed_with_input_total",
             "Clients' connections that were closed with input that was read and not handled." },
+        { "catalog_reads_without_leader_total",
+            "Reads of the configuration refused because no control leader was known." },
+        { "catalog_reads_unconfirmed_total",
+            "Reads of the configuration refused because no majority confirmed them in time." },
+        { "catalog_reads_not_applied_total",
+            "Reads of the configuration refused because the confirmed version was not applied here in time." },
     } };
 
     double seconds(Duration duration)
--- a/src/version/ControlLog.cpp
+++ b/src/version/ControlLog.cpp
@@ -231,7 +231,9 @@
             respond(step, origin, std::move(outcome));
         }
         for (const auto& read : state.reads_)
-            respond(step, read.origin_, undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority, {}));
+            respond(step, read.origin_,
+                undecidedOutcome(Outcome::NotRun, Reason::NoControlMajority,
+                    "the leader lost its majority before the read was confirmed"));
         state.pending_.clear();
         state.reads_.clear();
         state.progress_.clear();
@@ -417,6 +419,27 @@
         takeSnapshot(step);
     }
 
+    // Reports where the catalog changes are durable that are about to be acknowledged, up to the index.
+    void reportCommittedCatalogs(Step& step, std::uint64_t index)
+    {
+        const auto& state = step.state_;
+        for (auto waiting = state.pending_.begin(); waiting != state.pending_.end() && waiting->first <= index;
+             ++waiting) {
+            const auto& entry = entryAt(state.stored_, waiting->first);
+            const auto* change = std::get_if<ControlChange>(&entry.body_);
+            const auto* catalog = change ? std::get_if<CatalogChange>(&change->command_) : nullptr;
+            if (!catalog)
+                continue;
+            CatalogCommittedAction report { .version_ = catalog->catalog_.version_, .position_ = entry.position_ };
+            for (const auto& member : state.configuration_->members_) {
+                const bool isSynced = member.identity_ == state.identity_
+                    || state.progress_.at(member.identity_).match_ >= waiting->first;
+                (isSynced ? report.synced_ : report.unsynced_).push_back(member);
+            }
+            step.applies_.emplace_back(std::move(report));
+        }
+    }
+
     void advanceCommit(Step& step)
     {
         auto& state = step.state_;
@@ -431,6 +454,7 @@
             if (!isReplicated)
                 continue;
             state.commit_ = index;
+            reportCommittedCatalogs(step, index);
             applyCommitted(step);
             break;
         }
@@ -1217,6 +1241,24 @@
     return configurationBefore(stored, lastPosition(stored).index_ + 1);
 }
 
+ControlContents contentsOf(const ControlStored& stored)
+{
+    ControlContents contents { .term_ = stored.promise_.term_, .last_ = lastPosition(stored) };
+    if (stored.snapshot_) {
+        contents.snapshotIndex_ = stored.snapshot_->last_.index_;
+        contents.snapshotCatalog_ = stored.snapshot_->state_.catalog_.version_;
+    }
+    contents.lastCatalog_ = contents.snapshotCatalog_;
+    for (const auto& entry : stored.entries_) {
+        const auto* change = std::get_if<ControlChange>(&entry.body_);
+        if (const auto* catalog = change ? std::get_if<CatalogChange>(&change->command_) : nullptr)
+            contents.lastCatalog_ = std::max(contents.lastCatalog_, catalog->catalog_.version_);
+    }
+    if (const auto* configuration = configurationOf(stored))
+        contents.members_ = configuration->members_;
+    return contents;
+}
+
 ControlLogState startControlLog(InstanceId instance, std::string identity, std::vector<InstanceId> listed,
     SettingsTree start, ControlStored stored, const ControlLogOptions& options, std::uint64_t seed, TimePoint now)
 {
--- a/tests/ControlCatalogTest.cpp
+++ b/tests/ControlCatalogTest.cpp
@@ -40,6 +40,8 @@
     int starts_ { 0 };
     std::vector<SendAction> mail_;
     std::vector<ResponseAction> answers_;
+    std::vector<CatalogCommittedAction> committed_;
+    std::size_t committedAtAnswer_ { 0 }; // Reports before the last answer.
 
     Members() { options_.admitsUnlisted_ = true; }
 
@@ -59,9 +61,18 @@
                 mail_.push_back(*send);
             else if (const auto* answer = std::get_if<ResponseAction>(&action))
                 answers_.push_back(*answer);
+            else if (const auto* report = std::get_if<CatalogCommittedAction>(&action))
+                committed_.push_back(*report);
+            if (std::holds_alternative<ResponseAction>(action))
+                committedAtAnswer_ = committed_.size();
         }
     }
 
+    void ask(const std::string& name, std::uint64_t token, ControlRequest request)
+    {
+        take(step(logs_.at(InstanceId(name)), LocalRequest { token, std::move(request) }, now_));
+    }
+
     std::string leader() const
     {
         for (const auto& [name, log] : logs_) {
@@ -455,3 +466,64 @@
         CHECK(members.logs_.at(asked).control_.catalog_.version_ == 5);
     }
 }
+
+// Guards against an acknowledged catalog of which nobody can tell afterwards on which disks it was.
+TEST_CASE("the leader reports the members that had an acknowledged catalog synced")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.run(3s);
+    const auto leader = members.leader();
+    REQUIRE_FALSE(leader.empty());
+    const std::string silent = leader == "a" ? "b" : "a";
+    const std::string other = leader == "c" ? "b" : "c";
+    members.silent_.insert(InstanceId(silent));
+    // The change is forwarded: the report is the leader's all the same.
+    const auto asked = other == silent ? leader : other;
+    members.ask(asked, 7, catalogChange(5, "five"));
+    members.run(500ms);
+    REQUIRE(members.answers_.size() == 1);
+    CHECK(members.answers_[0].outcome_.outcome_ == Outcome::Done);
+    CHECK(members.committedAtAnswer_ == 1);
+    REQUIRE(members.committed_.size() == 1);
+    const auto& report = members.committed_[0];
+    CHECK(report.version_ == 5);
+    CHECK(report.position_.index_ > 0);
+    CHECK(report.synced_.size() == 2);
+    REQUIRE(report.unsynced_.size() == 1);
+    CHECK(report.unsynced_[0].instance_.value_ == silent);
+}
+
+// Guards against a refused read whose cause is not known.
+TEST_CASE("a read that a leader without a majority refuses names the cause")
+{
+    Members members;
+    for (const auto* name : { "a", "b", "c" })
+        members.start(name, true);
+    members.run(3s);
+    const auto leader = members.leader();
+    REQUIRE_FALSE(leader.empty());
+    for (const auto* name : { "a", "b", "c" }) {
+        if (name != leader)
+            members.silent_.insert(InstanceId(name));
+    }
+    members.ask(leader, 8, ControlRead {});
+    members.run(2s);
+    REQUIRE(members.answers_.size() == 1);
+    CHECK(members.answers_[0].outcome_.outcome_ == Outcome::NotRun);
+    CHECK(members.answers_[0].outcome_.detail_ == "the leader lost its majority before the read was confirmed");
+}
+
+// Guards against a record of a start that names another version than the disk held.
+TEST_CASE("the contents of the files name the newest catalog of the snapshot and of the entries")
+{
+    CHECK(contentsOf({}) == ControlContents {});
+    const ControlConfiguration configuration { "x", { { InstanceId("a"), "a-1", true } } };
+    ControlSnapshot snapshot { { 2, 3 }, configuration, {} };
+    snapshot.state_.catalog_ = { 4, "four" };
+    ControlStored stored { { 6, "a-1" }, std::make_shared<const ControlSnapshot>(snapshot), {} };
+    CHECK(contentsOf(stored) == ControlContents { 6, { 2, 3 }, 3, 4, 4, configuration.members_ });
+    stored.entries_ = { { { 5, 4 }, catalogChange(7, "seven") }, { { 5, 5 }, catalogChange(6, "six") } };
+    CHECK(contentsOf(stored) == ControlContents { 6, { 5, 5 }, 3, 4, 7, configuration.members_ });
+}
--- a/tests/ControlTaskTest.cpp
+++ b/tests/ControlTaskTest.cpp
@@ -99,6 +99,12 @@
         return tasks_.at(instance)->post(std::move(event));
     }
 
+    ControlContents loaded(const InstanceId& instance)
+    {
+        const std::lock_guard lock(mutex_);
+        return tasks_.at(instance)->loaded();
+    }
+
     // Waits until a condition over the notes holds.
     bool wait(const std::function<bool(Tasks&)>& holds)
     {
@@ -221,6 +227,21 @@
         REQUIRE(tasks.answerCounts_[token] == 1);
 }
 
+// Guards against a record of a start that does not name what the files held.
+TEST_CASE("a task that starts knows the catalog of its files")
+{
+    Tasks tasks({ "a" });
+    tasks.startAll();
+    const auto a = tasks.listed_[0];
+    CHECK(tasks.loaded(a) == ControlContents {});
+    REQUIRE(tasks.change(a, { "k3", CatalogChange { { 3, "three" } } }).outcome_ == Outcome::Done);
+    tasks.stop(a);
+    REQUIRE(tasks.start(a));
+    CHECK(tasks.loaded(a).lastCatalog_ == 3);
+    CHECK(tasks.loaded(a).snapshotCatalog_ == 0);
+    CHECK(tasks.loaded(a).members_.size() == 1);
+}
+
 // Guards against forged senders and malformed bodies.
 TEST_CASE("messages that are malformed or speak for another instance are dropped")
 {
