Sync the name of the control folder when an earlier start was interrupted

A control member whose first start ended between the creation of its folder and the sync of the folder above it found the folder at the next start and did not sync its name. A later loss of power could then remove the folder with every change that the member had acknowledged. Found by reading; no run has shown such a loss. The folder above is now synced before the identity is written, without which a member acknowledges nothing. ControlStorageTest fails without the change: the folder above is never synced after a start that failed.

--- a/src/version/ControlStorage.cpp
+++ b/src/version/ControlStorage.cpp
@@ -288,6 +288,8 @@
         }
         if (hasSnapshot || present.size() > record.size())
             return damageFailure(storage.folder_ / identityName, 0, "the file is missing; expected a record");
+        // An earlier start may have created the folder and ended before its name was durable.
+        BOOST_LEAF_CHECK(syncFolder(fs::absolute(storage.folder_).parent_path()));
         BOOST_LEAF_CHECK(replaceFile(journal, record));
         BOOST_LEAF_CHECK(replaceFile(storage.folder_ / identityName, makeRecord(newIdentity)));
         storage.identity_ = newIdentity;
--- a/tests/ControlStorageTest.cpp
+++ b/tests/ControlStorageTest.cpp
@@ -101,6 +101,16 @@
         && (one.snapshot_ == two.snapshot_ || (one.snapshot_ && two.snapshot_ && *one.snapshot_ == *two.snapshot_));
 }
 
+bool opens(const fs::path& folder)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<bool> {
+            BOOST_LEAF_CHECK(openControlStorage(folder, "identity"));
+            return true;
+        },
+        [] { return false; });
+}
+
 ControlEntry entry(Term term, std::uint64_t index)
 {
     if (index % 3 == 0)
@@ -420,3 +430,19 @@
     CHECK(operations.synced_.contains(inodeOf(folder.path_ / "journal")));
     CHECK(operations.synced_.contains(inodeOf(folder.path_)));
 }
+
+// Guards against a folder that a loss of power removes with all that was acknowledged: the start that created it ended
+// before the folder above it was synced.
+TEST_CASE("a start after one that failed syncs the name of the folder")
+{
+    const TemporaryFolder folder;
+    struct stat above { };
+    REQUIRE(::stat(folder.path_.c_str(), &above) == 0);
+    operations = {};
+    operations.failFrom_ = 1;
+    CHECK_FALSE(opens(folder.path_ / "control"));
+    REQUIRE(fs::is_directory(folder.path_ / "control"));
+    operations = {};
+    CHECK(opens(folder.path_ / "control"));
+    CHECK(operations.synced_.contains(above.st_ino));
+}
