--- a/tests/ControlLossTest.cpp
+++ b/tests/ControlLossTest.cpp
@@ -79,6 +79,7 @@
     std::vector<std::string> history_;
     std::uint64_t acknowledgements_ { 0 };
     std::size_t disruptions_ { 0 };
+    ControlCluster::SyncedVoters syncedVoters_;
 };
 
 // The settings of the daemon's control host; short snapshots, so that lagging members need one.
@@ -126,6 +127,7 @@
             loseDiskAtAcknowledgement();
         checkService();
         result_.acknowledgements_ = cluster_.acknowledgements();
+        result_.syncedVoters_ = cluster_.syncedVoters();
         for (const auto& violation : cluster_.violations())
             result_.violations_.push_back(violation);
         result_.history_ = cluster_.history();
@@ -421,9 +423,12 @@
     std::uint64_t acknowledgements = 0;
     std::size_t disruptions = 0;
     std::map<std::pair<std::size_t, std::string>, std::size_t> kinds;
+    ControlCluster::SyncedVoters synced;
     for (std::size_t i = 0; i < all.size(); ++i) {
         acknowledgements += results[i].acknowledgements_;
         disruptions += results[i].disruptions_;
+        for (const auto& [voters, count] : results[i].syncedVoters_)
+            synced[voters] += count;
         for (const auto& violation : results[i].violations_)
             ++kinds[{ all[i].size_, violation.substr(violation.find(": ") == std::string::npos ? 0 : 4) }];
         if (results[i].violations_.empty())
@@ -440,6 +445,9 @@
     std::cout << name << ": " << all.size() << " series from seed " << (all.empty() ? 0 : all.front().seed_) << ", "
               << disruptions << " disruptions, " << acknowledgements << " changes acknowledged, " << broken
               << " series with a violation\n";
+    for (const auto& [voters, count] : synced)
+        std::cout << "  " << count << " changes committed by " << voters.second << " of " << voters.first
+                  << " voters\n";
     for (const auto& [kind, count] : kinds)
         std::cout << "  " << count << " with " << kind.first << " members: " << kind.second << "\n";
     return broken;
--- a/tests/support/ControlCluster-inl.h
+++ b/tests/support/ControlCluster-inl.h
@@ -349,6 +349,9 @@
             transmit(instance, *send);
         } else if (const auto* catalog = std::get_if<ApplyCatalogAction>(&action)) {
             observe(instance.value_, *catalog->catalog_);
+        } else if (const auto* report = std::get_if<CatalogCommittedAction>(&action)) {
+            const auto synced = voterCount(report->synced_);
+            ++syncedVoters_[{ synced + voterCount(report->unsynced_), synced }];
         } else if (const auto* answer = std::get_if<ResponseAction>(&action)) {
             observe(*answer);
         }
--- a/tests/support/ControlCluster.h
+++ b/tests/support/ControlCluster.h
@@ -78,6 +78,9 @@
     /// Reads the catalog at all running instances until one confirms a version, within the limit.
     std::optional<std::uint64_t> readBack(Duration limit);
 
+    /// How many changes were acknowledged, by the number of voters and of those that had the change synced.
+    using SyncedVoters = std::map<std::pair<std::size_t, std::size_t>, std::uint64_t>;
+    const SyncedVoters& syncedVoters() const { return syncedVoters_; }
     const std::vector<std::string>& violations() const { return violations_; }
     const std::vector<std::string>& history() const { return history_; }
     void note(const std::string& text);
@@ -163,6 +166,7 @@
     std::function<void()> changeSentAction_;
     std::optional<std::uint64_t> readBack_;
     std::map<std::uint64_t, std::string> documents_; ///< What members applied, by version.
+    SyncedVoters syncedVoters_;
     std::vector<std::string> violations_;
     std::vector<std::string> history_;
 };
