--- a/tests/integration/support/ChildProcess.cpp
+++ b/tests/integration/support/ChildProcess.cpp
@@ -82,6 +82,11 @@
     send(SIGTERM);
 }
 
+void ChildProcess::hangUp()
+{
+    send(SIGHUP);
+}
+
 void ChildProcess::stop()
 {
     send(SIGSTOP);
--- a/tests/integration/support/ChildProcess.h
+++ b/tests/integration/support/ChildProcess.h
@@ -22,6 +22,7 @@
     /// Starts the program again with the same arguments, after its end.
     void restart();
     void terminate(); ///< Sends SIGTERM.
+    void hangUp(); ///< Sends SIGHUP.
     void stop(); ///< Sends SIGSTOP.
     void resume(); ///< Sends SIGCONT.
 
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -70,7 +70,7 @@
 
 } // namespace
 
-LineClient::LineClient(const std::string& address)
+LineClient::LineClient(const std::string& address, std::optional<int> receiveBufferBytes)
     : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     const auto colon = address.rfind(':');
@@ -78,6 +78,8 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+    if (receiveBufferBytes)
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &*receiveBufferBytes, sizeof(*receiveBufferBytes));
     // Not checked here: clients run on several threads, and Catch takes checks of one only. Without a connection every
     // answer is empty.
     if (::connect(socket_, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0) {
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -28,7 +28,8 @@
 /// A client of the line protocol, with blocking calls.
 class LineClient {
 public:
-    explicit LineClient(const std::string& address);
+    /// With `receiveBufferBytes`, answers that the client does not read soon stay at the other end.
+    explicit LineClient(const std::string& address, std::optional<int> receiveBufferBytes = {});
     LineClient(const LineClient&) = delete;
     LineClient& operator=(const LineClient&) = delete;
     ~LineClient();
