--- a/daemon/request/StatementGateway.cpp
+++ b/daemon/request/StatementGateway.cpp
@@ -449,8 +449,10 @@
     std::vector<SessionPtr> endedRevoked;
     for (const auto& session : sessions_) {
         auto& sql = session->sql_;
+        // A session that has sent no statement has no catalog of its own.
+        const auto& catalog = session->catalog_ ? session->catalog_ : catalog_;
         if (session->isRevoked_ && !session->busy_ && !session->isClosing_
-            && now - session->used_ > session->catalog_->idleTransaction_)
+            && now - session->used_ > catalog->idleTransaction_)
             endedRevoked.push_back(session);
         if (sql.transaction_ != TransactionState::Open || session->busy_)
             continue;
--- a/tests/integration/AccountTest.cpp
+++ b/tests/integration/AccountTest.cpp
@@ -211,6 +211,26 @@
     CHECK(isDone(other->query("READ item")));
 }
 
+// Guards against a crash: a malformed statement keeps such a session open, still without a catalog.
+TEST_CASE("a malformed statement on a session whose key is removed harms nobody else")
+{
+    GatewayHarness::Options options;
+    options.accounts_ = { { "ovens", { "key-of-ovens" } }, { "mills", { "key-of-mills" } } };
+    GatewayHarness harness(options);
+    const auto client = harness.client("verdicts", "key-of-ovens");
+    (*options.accounts_)["ovens"].clear();
+    auto stall = std::async(std::launch::async,
+        [&harness] { harness.onGateway([](StatementGateway&) { std::this_thread::sleep_for(300ms); }); });
+    std::this_thread::sleep_for(100ms);
+    auto change = std::async(std::launch::async, [&] { harness.configure(options); });
+    client->send("QUERY odd NONSENSE\r\n");
+    stall.get();
+    change.get();
+    std::this_thread::sleep_for(200ms);
+    const auto other = harness.client("verdicts", "key-of-mills");
+    CHECK(isDone(other->query("READ item")));
+}
+
 // Guards against a transaction that commits although its key was removed while one of its statements ran.
 TEST_CASE("a transaction whose key is removed during a statement is rolled back after the answer")
 {
