--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/cassiahollow || exit 2
-test -x target/review-2/OwnCommit || exit 2
-exec target/review-2/OwnCommit review/8/record.txt
+test -x target/review-2/RestartedReplica || exit 2
+exec target/review-2/RestartedReplica review/8/record.txt
