Keep the own commits of a session by group

Callers saw: a session on a read_your_writes route wrote, its route was moved to another service and back, it wrote there in between, and its next read ran on a replica without its commit.

Cause: the session had one position without a group. The commit in the second group replaced it, and its position was compared with samples of another log.

Evidence: the test "a session reads its own write after its route was moved to another group and back", with the harness's second group and without the fix, failed at its first read after the second move (1 of 4 test cases, 101 of 102 checks passed). With the fix it passes.

Why it works: the floor is taken from the log of the group that is read. What a session does not remember by position, it remembers by time, and a sample that was requested after an acknowledgement covers it.

Ruled out: a floor by time alone, which would send every read after an own commit to replicas that have what others committed until the next sample.

--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -154,7 +154,7 @@
     if (committed)
         sql.transaction_ = TransactionState::None;
     if ((wrote || (committed && session->wrote_)) && reply.position_.term_ > 0) {
-        sql.ownCommit_ = { reply.position_, suspendAwareNow() };
+        recordCommit(sql.ownCommits_, job->group_, { reply.position_, suspendAwareNow() });
         metrics_.add(CounterId::Writes);
     }
     metrics_.record(HistogramId::RequestTime, suspendAwareNow() - job->arrived_);
@@ -203,6 +203,7 @@
         return;
     const auto now = suspendAwareNow();
     auto& load = endpoint->load_;
+    endpoint->applied_ = std::max(endpoint->applied_, reply.position_);
     // A statement that waited for a new connection was sent when that was ready.
     const auto sent = std::max(job->sent_, link->readyAt());
     const auto floorAge = job->floor_ ? sent - job->floor_->reachedAt_ : Duration::zero();
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -147,6 +147,7 @@
     LogLine(LogKind::Belief, "catalog_applied")
         .with("version", catalog_->version_)
         .with("routes", static_cast<std::uint64_t>(catalog_->routes_.size()));
+    forgetRemovedGroups();
     updateQuotas();
     endRemovedKeys();
     startHeld();
@@ -167,6 +168,22 @@
     updateHolders();
 }
 
+// A group that is added again may have another log, in which the positions that are known here are never reached.
+void StatementGateway::forgetRemovedGroups()
+{
+    std::vector<GroupId> removed;
+    for (const auto& [id, group] : groups_) {
+        if (findGroup(*catalog_, id))
+            continue;
+        group->samples_ = {};
+        removed.push_back(id);
+    }
+    for (const auto& id : removed) {
+        for (const auto& session : sessions_)
+            forgetPosition(session->sql_.ownCommits_, id);
+    }
+}
+
 void StatementGateway::addSample(const GroupId& id, const PositionSample& sample)
 {
     sampled(groupOf(id), sample);
@@ -242,6 +259,7 @@
             for (const auto& link : std::exchange(known.links_, {}))
                 link->close();
             known.load_ = {};
+            known.applied_ = {};
         }
         if (record.leaving_ && !known.record_.leaving_) {
             known.leavingSince_ = suspendAwareNow();
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -210,8 +210,9 @@
     request.route_ = *job.route_;
     request.catalogVersion_ = job.catalog_->version_;
     request.idleTransaction_ = job.catalog_->idleTransaction_;
-    request.ownCommit_ = sql.ownCommit_.position_;
-    request.ownCommitAge_ = now - sql.ownCommit_.acknowledgedAt_;
+    const auto ownCommit = lastCommit(sql.ownCommits_, job.group_);
+    request.ownCommit_ = ownCommit.position_;
+    request.ownCommitAge_ = now - ownCommit.acknowledgedAt_;
     request.values_ = sql.values_;
     request.account_ = job.session_->account_;
     return request;
--- a/daemon/request/GatewayPeers.cpp
+++ b/daemon/request/GatewayPeers.cpp
@@ -130,7 +130,7 @@
     session->used_ = now;
     session->number_ = request.number_;
     sql.values_ = std::move(request.values_);
-    sql.ownCommit_ = { request.ownCommit_, now - request.ownCommitAge_ };
+    recordCommit(sql.ownCommits_, session->route_->group_, { request.ownCommit_, now - request.ownCommitAge_ });
     const JobPtr job(new Job);
     job->session_ = session;
     job->id_ = std::move(request.id_);
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -85,6 +85,7 @@
     bool hedged_ { false };
     std::set<EndpointId> tried_;
     std::optional<ReadFloor> floor_; ///< Of the current attempt.
+    bool isOwnCommitFloor_ { false }; ///< The floor is the session's last commit, and not a sample.
     EndpointLinkPtr link_;
     std::vector<std::pair<HolderPtr, std::uint64_t>> forwards_; ///< Where it was sent, and under which number.
     std::set<InstanceId> triedHolders_;
@@ -101,6 +102,7 @@
     RegisteredEndpoint record_;
     EndpointLoad load_;
     std::vector<EndpointLinkPtr> links_;
+    LogPosition applied_; ///< The highest position in its answers.
     TimePoint leavingSince_;
     TimePoint openFailed_;
     TimePoint probed_; ///< The last sign of life was asked for.
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -97,10 +97,14 @@
         return refuseJob(job, Reason::GroupWithoutPrimary);
     const auto limits = waitLimits(*job->route_, job->arrived_, waitsForPrimary);
     if (!job->needsPrimary_) {
+        const bool seesOwn = job->route_->consistency_ == Consistency::ReadYourWrites;
+        const auto ownCommit = seesOwn ? lastCommit(job->session_->sql_.ownCommits_, job->group_) : OwnCommit {};
+        const auto notBefore = earliestSample(job->ageFrom_ - job->route_->maxAge_, ownCommit);
         const auto newest = newestSample(group.samples_);
-        if (!newest || now - newest->requestedAt_ > (lacksConnections(group) ? sharedSampleInterval : sampleInterval))
+        if (!newest || newest->requestedAt_ < notBefore
+            || now - newest->requestedAt_ > (lacksConnections(group) ? sharedSampleInterval : sampleInterval))
             requestSample(group);
-        const auto sample = floorSample(group.samples_, job->ageFrom_ - job->route_->maxAge_);
+        const auto sample = floorSample(group.samples_, notBefore);
         if (!sample) {
             if (isolated_ && waitsForPrimary)
                 return refuseJob(job, Reason::NoEndpointForRead);
@@ -108,8 +112,8 @@
             job->item_.deadline_ = limits.latestStart_;
             return;
         }
-        const bool seesOwn = job->route_->consistency_ == Consistency::ReadYourWrites;
-        job->floor_ = sessionFloor(*sample, seesOwn ? job->session_->sql_.ownCommit_ : OwnCommit {});
+        job->floor_ = sessionFloor(*sample, ownCommit);
+        job->isOwnCommitFloor_ = job->floor_->position_ == ownCommit.position_;
     }
     job->item_.class_ = ClassId(job->route_->name_);
     const auto& account = job->session_->account_;
@@ -344,9 +348,34 @@
     sendFit(link, sql, job->shape_);
     if (job->opensTransaction_)
         return runFirst(job, link, sql.readOnly_ && !job->needsPrimary_);
+    if (!job->needsPrimary_ && mayLackOwnCommit(*job, link->endpoint()))
+        return runChecked(job, link);
     runSingle(job, link, job->needsPrimary_ && job->kind_ == StatementKind::Read);
 }
 
+// Whether the endpoint is a replica that has not shown yet that it has the session's commit.
+bool StatementGateway::mayLackOwnCommit(const Job& job, const EndpointId& id)
+{
+    const auto* endpoint = find(id);
+    return job.isOwnCommitFloor_ && endpoint && endpoint->record_.role_ == EndpointRole::Replica
+        && endpoint->applied_ < job.floor_->position_;
+}
+
+// Asks for the position with a begin, which takes no slot of the endpoint, before the read is sent.
+void StatementGateway::runChecked(const JobPtr& job, const EndpointLinkPtr& link)
+{
+    const auto floor = job->floor_->position_;
+    link->exchange(beginStatement(platform::withFloor(floor, platform::beginReadText()), floor),
+        [this, job, link](const EndpointReply* reply) {
+            if (!reply || reply->error_)
+                return finished(job, link, reply, reply != nullptr);
+            link->exchange(rollbackStatement(), [](const EndpointReply*) {});
+            if (job->isDone_)
+                return finished(job, link, nullptr, false);
+            runSingle(job, link, false);
+        });
+}
+
 void StatementGateway::runSingle(const JobPtr& job, const EndpointLinkPtr& link, bool proveLead)
 {
     if (!proveLead) {
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -177,6 +177,8 @@
     void start(const JobPtr&, Endpoint&, const EndpointLinkPtr&);
     void notSent(const JobPtr&, const EndpointLinkPtr&);
     void runOn(const JobPtr&, const EndpointLinkPtr&);
+    bool mayLackOwnCommit(const Job&, const EndpointId&);
+    void runChecked(const JobPtr&, const EndpointLinkPtr&);
     void runSingle(const JobPtr&, const EndpointLinkPtr&, bool proveLead);
     void runFirst(const JobPtr&, const EndpointLinkPtr&, bool readOnly);
     void finished(const JobPtr&, const EndpointLinkPtr&, const EndpointReply*, bool beginRefused);
@@ -286,6 +288,7 @@
     void linkClosed(const EndpointId&, const EndpointLinkPtr&);
     void suspect(Endpoint&);
     static void tellLimit(Endpoint&);
+    void forgetRemovedGroups();
     void requestSample(Group&);
     bool awaitsSharedSample(const Group&) const;
     static EndpointLinkPtr restingLink(const Endpoint&);
--- a/include/cassiahollow/connection/SqlSession.h
+++ b/include/cassiahollow/connection/SqlSession.h
@@ -83,7 +83,7 @@
     TransactionState transaction_ { TransactionState::None };
     bool readOnly_ { false }; ///< Whether the transaction was begun as read-only.
     TimePoint startedAt_; ///< When the transaction's first statement was received.
-    OwnCommit ownCommit_;
+    OwnCommits ownCommits_;
 };
 
 /// Limit on the number of values of a session, and likewise of its prepared statements, to bound its memory.
--- a/include/cassiahollow/request/HolderProtocol.h
+++ b/include/cassiahollow/request/HolderProtocol.h
@@ -34,7 +34,7 @@
     Route route_; ///< As the client's instance knows it.
     std::uint64_t catalogVersion_ { 0 }; ///< Version of the catalog that has the route.
     Duration idleTransaction_ { 0 }; ///< The transaction is ended after this time without a statement.
-    LogPosition ownCommit_; ///< The last commit of the session.
+    LogPosition ownCommit_; ///< The last commit of the session in the route's group; 0:0 if its position is not known.
     Duration ownCommitAge_ { 0 };
     std::map<std::string, std::string> values_; ///< All values of the session.
     AccountId account_; ///< Of the session. Empty without one, and in messages of instances that know no accounts.
--- a/include/cassiahollow/request/PositionSamples.h
+++ b/include/cassiahollow/request/PositionSamples.h
@@ -3,6 +3,7 @@
 #include "cassiahollow/process/Types.h"
 
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace cassiahollow {
@@ -44,14 +45,41 @@
     TimePoint reachedAt_;
 };
 
-/// The last acknowledged commit of a session.
+/// An acknowledged commit of a session.
 struct OwnCommit {
-    LogPosition position_;
+    LogPosition position_; ///< 0:0 if it is not known.
     TimePoint acknowledgedAt_;
 };
 
-/// The floor of a read that must see its session's last commit: the later of the two positions. A commit of an earlier
-/// term than the sample's is either below the sample or was rolled back.
+/// The last acknowledged commits of a session, by group: a position has no meaning in the log of another group.
+struct OwnCommits {
+    std::map<GroupId, OwnCommit> latest_; ///< At most maximumOwnCommits.
+    /// The last acknowledgement in the groups that were left out, whose positions are not known any more.
+    TimePoint othersAcknowledgedAt_;
+};
+
+/// Limit on the groups whose last commit a session keeps, to bound its memory. A session commits in more than one only
+/// when its route moves.
+inline constexpr std::size_t maximumOwnCommits = 4;
+
+/// Records a commit. Positions and times never decrease. A commit without a position counts for all groups that have no
+/// commit with one.
+void recordCommit(OwnCommits&, const GroupId&, OwnCommit);
+
+/// Forgets the position of the last commit in a group, but not when it was acknowledged: the group may have another log
+/// from now on, or still have this one.
+void forgetPosition(OwnCommits&, const GroupId&);
+
+/// The commit that the session's reads in the group must see. Without a position, only a sample that was requested
+/// after the acknowledgement covers it.
+OwnCommit lastCommit(const OwnCommits&, const GroupId&);
+
+/// The earliest time of a sample that may be the floor of a read that must see the commit.
+TimePoint earliestSample(TimePoint notBefore, const OwnCommit&);
+
+/// The floor of a read that must see its session's last commit: the later of the two positions. A sample requested after
+/// the acknowledgement covers the commit. A commit of an earlier term than the sample's is either below the sample or
+/// was rolled back.
 ReadFloor sessionFloor(const PositionSample&, const OwnCommit&);
 
 } // namespace cassiahollow
--- a/src/request/PositionSamples.cpp
+++ b/src/request/PositionSamples.cpp
@@ -46,9 +46,45 @@
     return state.samples_.empty() ? std::nullopt : std::optional(state.samples_.back());
 }
 
+void recordCommit(OwnCommits& commits, const GroupId& group, OwnCommit commit)
+{
+    if (commit.position_.term_ == 0) {
+        commits.othersAcknowledgedAt_ = std::max(commits.othersAcknowledgedAt_, commit.acknowledgedAt_);
+        return;
+    }
+    auto& latest = commits.latest_[group];
+    latest.position_ = std::max(latest.position_, commit.position_);
+    latest.acknowledgedAt_ = std::max(latest.acknowledgedAt_, commit.acknowledgedAt_);
+    if (commits.latest_.size() <= maximumOwnCommits)
+        return;
+    const auto oldest = std::min_element(commits.latest_.begin(), commits.latest_.end(),
+        [](const auto& a, const auto& b) { return a.second.acknowledgedAt_ < b.second.acknowledgedAt_; });
+    forgetPosition(commits, GroupId(oldest->first));
+}
+
+void forgetPosition(OwnCommits& commits, const GroupId& group)
+{
+    const auto known = commits.latest_.find(group);
+    if (known == commits.latest_.end())
+        return;
+    commits.othersAcknowledgedAt_ = std::max(commits.othersAcknowledgedAt_, known->second.acknowledgedAt_);
+    commits.latest_.erase(known);
+}
+
+OwnCommit lastCommit(const OwnCommits& commits, const GroupId& group)
+{
+    const auto known = commits.latest_.find(group);
+    return known == commits.latest_.end() ? OwnCommit { {}, commits.othersAcknowledgedAt_ } : known->second;
+}
+
+TimePoint earliestSample(TimePoint notBefore, const OwnCommit& commit)
+{
+    return commit.position_.term_ == 0 ? std::max(notBefore, commit.acknowledgedAt_) : notBefore;
+}
+
 ReadFloor sessionFloor(const PositionSample& sample, const OwnCommit& commit)
 {
-    if (commit.position_ > sample.position_)
+    if (commit.acknowledgedAt_ > sample.requestedAt_ && commit.position_ > sample.position_)
         return { commit.position_, commit.acknowledgedAt_ };
     return { sample.position_, sample.requestedAt_ };
 }
--- a/standin/LineGroup.cpp
+++ b/standin/LineGroup.cpp
@@ -108,6 +108,15 @@
     nextIndex_ = log_.empty() ? 1 : log_.back().position_.index_ + 1;
 }
 
+void LineGroup::clear()
+{
+    const std::lock_guard lock(mutex_);
+    log_.clear();
+    branches_.clear();
+    term_ = 1;
+    nextIndex_ = 1;
+}
+
 void LineGroup::stepDown(const EndpointId& endpoint, Term term)
 {
     const std::lock_guard lock(mutex_);
--- a/standin/LineGroup.h
+++ b/standin/LineGroup.h
@@ -44,6 +44,8 @@
     void setLag(const EndpointId&, std::chrono::milliseconds);
     /// The endpoint leads the next term with what it has applied; what others had beyond is rolled back.
     void promote(const EndpointId&);
+    /// Begins an empty log in term 1, like a group that was removed and added again.
+    void clear();
     /// After a promotion of another endpoint, this one goes on leading its own copy of the log until it is told to step
     /// down, like a primary that is cut off behind an authority without fences.
     void isolate(const EndpointId&);
--- a/tests/PositionSamplesTest.cpp
+++ b/tests/PositionSamplesTest.cpp
@@ -105,3 +105,72 @@
     CHECK(floorFor({ 2, 500 }).reachedAt_ == floor.requestedAt_);
     CHECK(floorFor({ 3, 120 }).reachedAt_ == start + 5ms);
 }
+
+// Guards against a session that forgets its commit in one group because it has committed in others since, and against a
+// floor that the group's log may never reach.
+TEST_CASE("a session sees its last commit of each group")
+{
+    struct Log {
+        std::uint64_t index_ { 0 };
+        std::uint64_t own_ { 0 };
+        PositionSamples samples_;
+    };
+    const std::uint64_t seed = GENERATE(1, 2, 3, 4, 5, 6, 7, 8);
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    const auto groupCount = 1 + random() % (2 * maximumOwnCommits);
+    std::vector<Log> logs(groupCount);
+    OwnCommits commits;
+    auto now = start;
+    int floors = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        now += std::chrono::milliseconds(1 + random() % 60);
+        const auto chosen = random() % groupCount;
+        const GroupId group("g" + std::to_string(chosen));
+        auto& log = logs[chosen];
+        log.index_ += random() % 3;
+        switch (random() % 8) {
+        case 0:
+        case 1:
+            log.own_ = ++log.index_;
+            recordCommit(commits, group, { { 1, log.own_ }, now });
+            break;
+        case 2:
+        case 3:
+            addSample(log.samples_, { now, { 1, log.index_ } }, now);
+            break;
+        case 4:
+            forgetPosition(commits, group);
+            break;
+        default: {
+            // The holder of the group's connections gets the commit with its age.
+            const auto own = lastCommit(commits, group);
+            OwnCommits atHolder;
+            recordCommit(atHolder, group, own);
+            CHECK(lastCommit(atHolder, group).position_ == own.position_);
+            CHECK(lastCommit(atHolder, group).acknowledgedAt_ == own.acknowledgedAt_);
+            const auto sample = floorSample(log.samples_, earliestSample(now - 2500ms, own));
+            if (!sample)
+                break;
+            const auto floor = sessionFloor(*sample, own);
+            ++floors;
+            REQUIRE(floor.position_.index_ >= log.own_);
+            REQUIRE(floor.position_.index_ <= log.index_);
+        }
+        }
+        REQUIRE(commits.latest_.size() <= maximumOwnCommits);
+    }
+    CHECK(floors > 100);
+}
+
+TEST_CASE("an older commit of a session does not lower its floor")
+{
+    const GroupId group("returns");
+    OwnCommits commits;
+    recordCommit(commits, group, { { 3, 120 }, start + 8ms });
+    recordCommit(commits, group, { { 3, 110 }, start + 5ms });
+    CHECK(lastCommit(commits, group).position_ == LogPosition { 3, 120 });
+    CHECK(lastCommit(commits, group).acknowledgedAt_ == start + 8ms);
+    // What was acknowledged before the sample was requested is at or below it, unless the log is another one.
+    CHECK(sessionFloor(sample(9ms, 1, 4), lastCommit(commits, group)).position_ == LogPosition { 1, 4 });
+}
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -48,6 +48,75 @@
     }
 }
 
+// Guards against a session that forgets its commit in one group because it has written in another one since.
+TEST_CASE("a session reads its own write after its route was moved to another group and back")
+{
+    GatewayHarness::Options options { .hasOtherGroup_ = true };
+    GatewayHarness harness(options);
+    for (const auto* id : { "i-2", "i-3" })
+        harness.group().setLag(EndpointId(id), 900ms);
+    const auto move = [&](std::set<std::string> routes) {
+        options.movedRoutes_ = std::move(routes);
+        harness.configure(options);
+    };
+    // The log of the first group is the longer one.
+    const auto writer = harness.client("verdicts");
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(isDone(writer->query("WRITE item v")));
+    const auto client = harness.client("receipts");
+    for (int i = 0; i < 4; ++i) {
+        const auto value = "v" + std::to_string(i);
+        const bool inTransaction = i % 2 == 1;
+        if (inTransaction)
+            client->query("BEGIN");
+        REQUIRE(isDone(client->query("WRITE item " + value)));
+        if (inTransaction)
+            REQUIRE(isDone(client->query("COMMIT")));
+        move({ "receipts" });
+        REQUIRE(isDone(client->query("WRITE item other-" + value)));
+        CHECK(rowOf(client->query("READ item")) == "other-" + value);
+        move({});
+        CHECK(rowOf(client->query("READ item")) == value);
+        client->query("BEGIN READ");
+        CHECK(rowOf(client->query("READ item")) == value);
+        client->query("ROLLBACK");
+    }
+}
+
+// Guards against a session that does not see what it committed while its route had another consistency level.
+TEST_CASE("a session reads its own write after its route became read_your_writes")
+{
+    GatewayHarness::Options options { .receipts_ = Consistency::BoundedStaleness };
+    GatewayHarness harness(options);
+    for (const auto* id : { "i-2", "i-3" })
+        harness.group().setLag(EndpointId(id), 900ms);
+    const auto client = harness.client("receipts");
+    REQUIRE(isDone(client->query("WRITE item x")));
+    options.receipts_ = Consistency::ReadYourWrites;
+    harness.configure(options);
+    CHECK(rowOf(client->query("READ item")) == "x");
+}
+
+// Guards against reads that wait for a position of a log that does not exist any more: a group that was removed and
+// added again may have another one.
+TEST_CASE("a session reads in a group that was removed and added again")
+{
+    GatewayHarness::Options options { .hasOtherGroup_ = true, .movedRoutes_ = { "receipts" } };
+    GatewayHarness harness(options);
+    const auto client = harness.client("receipts");
+    for (int i = 0; i < 5; ++i)
+        REQUIRE(isDone(client->query("WRITE item first")));
+    options = {};
+    harness.configure(options);
+    REQUIRE(isDone(client->query("WRITE item second")));
+    harness.otherGroup().clear();
+    options = { .hasOtherGroup_ = true, .movedRoutes_ = { "receipts" } };
+    harness.configure(options);
+    CHECK(isDone(client->query("READ item")));
+    REQUIRE(isDone(client->query("WRITE item third")));
+    CHECK(rowOf(client->query("READ item")) == "third");
+}
+
 // Guards against reads that all meet at the primary.
 TEST_CASE("reads of a stated age run at replicas")
 {
--- a/tests/integration/support/GatewayHarness.cpp
+++ b/tests/integration/support/GatewayHarness.cpp
@@ -23,6 +23,11 @@
         return { EndpointId("i-1"), EndpointId("i-2"), EndpointId("i-3") };
     }
 
+    std::vector<EndpointId> otherEndpointNames()
+    {
+        return { EndpointId("i-4"), EndpointId("i-5"), EndpointId("i-6") };
+    }
+
     ClientAccounts accountsOf(const GatewayHarness::Options& options)
     {
         std::vector<ClientAccount> accounts;
@@ -48,12 +53,14 @@
         if (options.accounts_)
             catalog.accounts_ = accountsOf(options);
         catalog.groups_ = { { GroupId("returns"), options.connectionLimit_, 0 } };
+        if (options.hasOtherGroup_)
+            catalog.groups_.push_back({ GroupId("verdicts"), options.connectionLimit_, 0 });
         catalog.idleTransaction_ = options.idleTransaction_;
         const auto add = [&](const std::string& name, Consistency consistency, int priority) {
             Route route;
             route.name_ = name;
             route.database_ = name;
-            route.group_ = GroupId("returns");
+            route.group_ = GroupId(options.movedRoutes_.contains(name) ? "verdicts" : "returns");
             route.consistency_ = consistency;
             route.statementTimeout_ = options.statementTimeout_;
             route.objective_ = 300ms;
@@ -64,7 +71,7 @@
         };
         add("verdicts", Consistency::Primary, 1);
         add("audits", Consistency::BoundedStaleness, 2);
-        add("receipts", Consistency::ReadYourWrites, 2);
+        add("receipts", options.receipts_, 2);
         return catalog;
     }
 
@@ -177,6 +184,7 @@
 
 GatewayHarness::GatewayHarness(Options options)
     : group_("returns", endpointNames())
+    , other_("verdicts", otherEndpointNames())
     , calls_(100, [this] { loop_.wake(); })
     , gateway_(loop_, metrics_,
           { .instance_ = "front-1",
@@ -187,6 +195,8 @@
 {
     for (const auto& id : endpointNames())
         servers_.push_back(std::make_unique<standin::LineServer>(group_, id, "127.0.0.1", freePort()));
+    for (const auto& id : options.hasOtherGroup_ ? otherEndpointNames() : std::vector<EndpointId>())
+        servers_.push_back(std::make_unique<standin::LineServer>(other_, id, "127.0.0.1", freePort()));
     listener_ = std::make_unique<LineListener>(
         loop_, address_, 1000, [this](const LineChannelPtr& channel) { gateway_.accept(channel); });
     REQUIRE(listener_->start());
@@ -230,16 +240,18 @@
 {
     std::vector<RegisteredEndpoint> records;
     const auto now = suspendAwareNow();
-    for (const auto& server : servers_) {
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        const auto& server = servers_[i];
+        const auto& group = i < endpointNames().size() ? group_ : other_;
         RegisteredEndpoint record;
         record.id_ = server->id();
-        record.group_ = GroupId("returns");
+        record.group_ = GroupId(group.name());
         record.address_ = server->address();
         record.dataCentre_ = DataCentre("a");
         record.startedAtMs_ = 1;
         record.sequence_ = sequence_++;
         record.slots_ = 2;
-        record.role_ = group_.isPrimary(server->id()) ? EndpointRole::Primary : EndpointRole::Replica;
+        record.role_ = group.isPrimary(server->id()) ? EndpointRole::Primary : EndpointRole::Replica;
         record.receivedAt_ = now;
         record.roleSince_ = now;
         records.push_back(record);
--- a/tests/integration/support/GatewayHarness.h
+++ b/tests/integration/support/GatewayHarness.h
@@ -54,7 +54,7 @@
     std::string id_;
 };
 
-/// A gateway in front of one group of three databases, all in this process on loopback.
+/// A gateway in front of one group of three databases, or of two such groups, all in this process on loopback.
 class GatewayHarness {
 public:
     struct Options {
@@ -69,6 +69,9 @@
         std::set<std::string> publicRoutes_ {};
         std::map<std::string, QuotaLimit> quotas_ {}; ///< Of accounts, by name.
         bool failClosed_ { false };
+        bool hasOtherGroup_ { false }; ///< A second group, whose databases are the servers 3 to 5.
+        std::set<std::string> movedRoutes_ {}; ///< Routes of the second group.
+        Consistency receipts_ { Consistency::ReadYourWrites }; ///< Of the route "receipts".
     };
 
     GatewayHarness();
@@ -80,6 +83,7 @@
     /// Databases "verdicts" (primary), "audits" (bounded_staleness) and "receipts" (read_your_writes) are routes.
     const std::string& address() const { return address_; }
     standin::LineGroup& group() { return group_; }
+    standin::LineGroup& otherGroup() { return other_; }
     standin::LineServer& server(std::size_t i) { return *servers_.at(i); }
     std::size_t servers() const { return servers_.size(); }
     /// Runs a function on the gateway's thread and waits for it.
@@ -106,6 +110,7 @@
     std::vector<RegisteredEndpoint> records();
 
     standin::LineGroup group_;
+    standin::LineGroup other_;
     std::vector<std::unique_ptr<standin::LineServer>> servers_;
     std::uint64_t sequence_ { 1 };
     std::uint64_t catalogVersion_ { 1 };
