Share what the leases of commits left twice

watchLeases() repeated the loop of leaseReceived(), and three functions of the promotion duty put together for themselves whether instances report commits only under a lease. lacksLease() looked up the primary for each write, also of groups without synchronous replicas, for which its answer is always no: their primary is known without a lease, or only with one. It returns at once for them.

--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -75,15 +75,17 @@
 // Whether the statement may write and the primary is known, but no lease on it.
 bool StatementGateway::lacksLease(const Group& group, const Job& job) const
 {
+    // Without synchronous replicas, a primary that needs a lease is known only with one.
+    if (!group.isSynchronous_ || !job.needsPrimary_)
+        return false;
     const bool mayWrite = job.kind_ == StatementKind::Write || (job.opensTransaction_ && !job.session_->sql_.readOnly_);
-    const auto* first = mayWrite && job.needsPrimary_ ? primary(group) : nullptr;
+    const auto* first = mayWrite ? primary(group) : nullptr;
     return first && !mayAcknowledgeAt(group, first->record_.id_);
 }
 
 // Lets the statements go on that have waited for a lease.
-void StatementGateway::leaseReceived(Group& group)
+void StatementGateway::endLeaseWaits(Group& group)
 {
-    requestSample(group);
     for (const auto& job : std::exchange(group.awaitLease_, {}))
         enqueueJob(job);
     dispatch(group);
@@ -105,7 +107,9 @@
         const auto* old = findLease(before, lease.group_);
         if (old && old->primary_ == lease.primary_)
             continue;
-        leaseReceived(groupOf(lease.group_));
+        auto& group = groupOf(lease.group_);
+        requestSample(group);
+        endLeaseWaits(group);
     }
 }
 
@@ -123,9 +127,7 @@
     for (const auto& [id, group] : groups_) {
         if (!group->awaitSample_.empty())
             requestSample(*group);
-        for (const auto& job : std::exchange(group->awaitLease_, {}))
-            enqueueJob(job);
-        dispatch(*group);
+        endLeaseWaits(*group);
     }
 }
 
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -273,7 +273,7 @@
     const RegisteredEndpoint* primaryRecord(const GroupId&) const;
     bool mayAcknowledgeAt(const Group&, const EndpointId&) const;
     bool lacksLease(const Group&, const Job&) const;
-    void leaseReceived(Group&);
+    void endLeaseWaits(Group&);
     void watchLeases();
     bool isUsable(const Endpoint&) const;
     bool isScarceFor(const GroupId&) const;
--- a/src/version/PromotionDuty.cpp
+++ b/src/version/PromotionDuty.cpp
@@ -106,16 +106,22 @@
         return rules ? rules->synchronousReplicas_ : 0;
     }
 
-    // Whether instances use the group's primary only while a lease on it is valid.
+    // Whether a synchronous replica confirms commits, and instances report them as done only under a lease.
+    bool isLeasedForCommits(const TickContext& context, const GroupId& id)
+    {
+        return context.gate_ && synchronousReplicas(context, id) > 0;
+    }
+
+    // Whether instances use the group's primary only while a lease on it is valid, for commits or for everything.
     bool isLeased(const TickContext& context, const GroupId& id)
     {
-        return context.gate_ && (!context.gate_->checksFences_ || synchronousReplicas(context, id) > 0);
+        return (context.gate_ && !context.gate_->checksFences_) || isLeasedForCommits(context, id);
     }
 
     Duration lateOrderTimeout(const TickContext& context, const GroupId& id)
     {
-        const bool isSynchronous = isLeased(context, id) && synchronousReplicas(context, id) > 0;
-        return isSynchronous ? context.options_.longestExecutionDelay_ : context.options_.lateOrderTimeout_;
+        return isLeasedForCommits(context, id) ? context.options_.longestExecutionDelay_
+                                               : context.options_.lateOrderTimeout_;
     }
 
     // Replicas stay paused until resumeReplicas().
@@ -580,7 +586,7 @@
         if (group.cause_ == PromotionCause::Strained && group.target_ != group.primary_) {
             group.target_ = group.primary_;
             // The latest grant has to name the endpoint whose promotion is ordered, for later leaders.
-            if (isLeased(context, id) && synchronousReplicas(context, id) > 0)
+            if (isLeasedForCommits(context, id))
                 return requestGrant(context, id, group);
         }
         sendOrder(context, id, group);
