Build the begin of a read with a floor in one place

runChecked() repeated what runFirst() and beginStatement() put together: the text with the floor, and the floor that the answer has to show. Same messages. GatewayTest, HolderTest, AccountHolderTest and MixedAnswersTest pass.

--- a/daemon/connection/EndpointLink.cpp
+++ b/daemon/connection/EndpointLink.cpp
@@ -41,6 +41,11 @@
     return ownStatement(text, { .mark_ = SessionMark::InTransaction, .floor_ = floor });
 }
 
+EndpointStatement beginReadStatement(const LogPosition& floor)
+{
+    return beginStatement(platform::withFloor(floor, platform::beginReadText()), floor);
+}
+
 EndpointStatement rollbackStatement()
 {
     return ownStatement(platform::rollbackText(), { .mark_ = SessionMark::Idle });
--- a/daemon/connection/EndpointLink.h
+++ b/daemon/connection/EndpointLink.h
@@ -34,6 +34,8 @@
 EndpointStatement ownStatement(std::string_view text, AnswerExpectation expected = {});
 /// Begin and rollback of the instance itself.
 EndpointStatement beginStatement(std::string_view text, const LogPosition& floor = {});
+/// A begin that an endpoint refuses while it is behind the position.
+EndpointStatement beginReadStatement(const LogPosition& floor);
 EndpointStatement rollbackStatement();
 /// A read, write or commit of a client.
 EndpointStatement clientStatement(std::string request, std::string text, std::optional<SessionMark> mark);
--- a/daemon/request/GatewayStatements.cpp
+++ b/daemon/request/GatewayStatements.cpp
@@ -372,16 +372,14 @@
 // Asks for the position with a begin, which takes no slot of the endpoint, before the read is sent.
 void StatementGateway::runChecked(const JobPtr& job, const EndpointLinkPtr& link)
 {
-    const auto floor = job->floor_->position_;
-    link->exchange(beginStatement(platform::withFloor(floor, platform::beginReadText()), floor),
-        [this, job, link](const EndpointReply* reply) {
-            if (!reply || reply->error_)
-                return finished(job, link, reply, reply != nullptr);
-            link->exchange(rollbackStatement(), [](const EndpointReply*) {});
-            if (job->isDone_)
-                return finished(job, link, nullptr, false);
-            runSingle(job, link, false);
-        });
+    link->exchange(beginReadStatement(job->floor_->position_), [this, job, link](const EndpointReply* reply) {
+        if (!reply || reply->error_)
+            return finished(job, link, reply, reply != nullptr);
+        link->exchange(rollbackStatement(), [](const EndpointReply*) {});
+        if (job->isDone_)
+            return finished(job, link, nullptr, false);
+        runSingle(job, link, false);
+    });
 }
 
 void StatementGateway::runSingle(const JobPtr& job, const EndpointLinkPtr& link, bool proveLead)
@@ -414,24 +412,22 @@
 
 void StatementGateway::runFirst(const JobPtr& job, const EndpointLinkPtr& link, bool readOnly)
 {
-    const auto begin = readOnly ? platform::withFloor(job->floor_->position_, platform::beginReadText())
-                                : std::string(platform::beginText());
+    auto begin = readOnly ? beginReadStatement(job->floor_->position_) : beginStatement(platform::beginText());
     // A statement after a refused begin would run outside the transaction, so it waits for the answer.
-    link->exchange(beginStatement(begin, readOnly ? job->floor_->position_ : LogPosition {}),
-        [this, job, link, readOnly](const EndpointReply* reply) {
-            if (!reply || reply->error_)
-                return finished(job, link, reply, reply != nullptr);
-            if (job->isDone_)
-                return finished(job, link, nullptr, false);
-            const auto mark = job->kind_ == StatementKind::Commit ? SessionMark::Idle : SessionMark::InTransaction;
-            const auto position = readOnly ? LogPosition {} : reply->position_;
-            link->exchange(clientStatement(job->id_, job->text_, mark),
-                [this, job, link, position](const EndpointReply* answered) {
-                    if (answered && !answered->error_ && position.term_ > 0)
-                        sampled(groupOf(job->group_), { job->sent_, position });
-                    finishedFirst(job, link, answered);
-                });
-        });
+    link->exchange(std::move(begin), [this, job, link, readOnly](const EndpointReply* reply) {
+        if (!reply || reply->error_)
+            return finished(job, link, reply, reply != nullptr);
+        if (job->isDone_)
+            return finished(job, link, nullptr, false);
+        const auto mark = job->kind_ == StatementKind::Commit ? SessionMark::Idle : SessionMark::InTransaction;
+        const auto position = readOnly ? LogPosition {} : reply->position_;
+        link->exchange(
+            clientStatement(job->id_, job->text_, mark), [this, job, link, position](const EndpointReply* answered) {
+                if (answered && !answered->error_ && position.term_ > 0)
+                    sampled(groupOf(job->group_), { job->sent_, position });
+                finishedFirst(job, link, answered);
+            });
+    });
 }
 
 void StatementGateway::finishedFirst(const JobPtr& job, const EndpointLinkPtr& link, const EndpointReply* reply)
