Ask one function whether a statement waits for a sample or a lease

Statements that wait for a lease were added beside those that wait for a sample in three places; Group::isBlocked() and unblock() replace the pairs. watchSilence() compares the deadline before it looks a statement up, which it does for all statements of a group several times a second.

--- a/daemon/request/GatewayAnswers.cpp
+++ b/daemon/request/GatewayAnswers.cpp
@@ -414,8 +414,7 @@
     releaseToken(job);
     auto& group = groupOf(job->group_);
     group.jobs_.erase(job);
-    group.awaitSample_.erase(job);
-    group.awaitLease_.erase(job);
+    group.unblock(job);
     if (job->queue_ && job->item_.state_ == AdmissionItem::State::Running)
         cassiahollow::finished(*job->queue_, job->item_, suspendAwareNow());
     else if (job->queue_ && job->item_.state_ == AdmissionItem::State::Waiting)
--- a/daemon/request/GatewayEndpoints.cpp
+++ b/daemon/request/GatewayEndpoints.cpp
@@ -722,8 +722,7 @@
     for (auto& [id, group] : groups_) {
         std::vector<JobPtr> late;
         for (const auto& job : group->jobs_) {
-            const bool waits = group->awaitSample_.contains(job) || group->awaitLease_.contains(job);
-            if (waits && now > job->item_.deadline_)
+            if (now > job->item_.deadline_ && group->isBlocked(job))
                 late.push_back(job);
             if (!job->link_ || now - job->sent_ < responseTimeout)
                 continue;
--- a/daemon/request/GatewayHolders.cpp
+++ b/daemon/request/GatewayHolders.cpp
@@ -95,15 +95,13 @@
 {
     std::vector<JobPtr> waiting;
     for (const auto& job : group.jobs_) {
-        if (job->item_.state_ == AdmissionItem::State::Waiting || group.awaitSample_.contains(job)
-            || group.awaitLease_.contains(job))
+        if (job->item_.state_ == AdmissionItem::State::Waiting || group.isBlocked(job))
             waiting.push_back(job);
     }
     for (const auto& job : waiting) {
         if (job->isDone_)
             continue;
-        group.awaitSample_.erase(job);
-        group.awaitLease_.erase(job);
+        group.unblock(job);
         if (job->item_.state_ == AdmissionItem::State::Waiting)
             cancel(*job->queue_, job->item_);
         enqueueJob(job);
--- a/daemon/request/GatewayState.h
+++ b/daemon/request/GatewayState.h
@@ -132,6 +132,14 @@
     /// Assumed until a statement has finished.
     static constexpr std::chrono::milliseconds firstServiceTime { 10 };
 
+    /// Whether the statement is in no queue yet, because a sample or a lease is missing.
+    bool isBlocked(const JobPtr& job) const { return awaitSample_.contains(job) || awaitLease_.contains(job); }
+    void unblock(const JobPtr& job)
+    {
+        awaitSample_.erase(job);
+        awaitLease_.erase(job);
+    }
+
     GroupId id_;
     const TimePoint known_; ///< When this instance first heard of the group.
     AdmissionQueue primaryQueue_; ///< Statements that only the primary may run.
--- a/daemon/request/StatementGateway.h
+++ b/daemon/request/StatementGateway.h
@@ -328,7 +328,7 @@
     EventLoop::TimerId quotaTimer_;
     RetryBudget retryBudget_;
     LeaseView leases_;
-    bool usesLeases_ { false }; ///< Some primaries are leased.
+    bool usesLeases_ { false }; ///< Some primaries are leased. Stays on, because their leases have to be seen to end.
     bool hadLeases_ { false }; ///< Leases were valid at the last tick.
     std::function<void()> reportHandler_;
     TimePoint confirmedContact_;
